--- /dev/null
+++ b/stonecove/wire/changelog.py
@@ -0,0 +1,140 @@
+"""The change log's events, as frames of its connection and as JSON at the start; knows no I/O."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator, Sequence
+from ipaddress import IPv4Address
+from typing import Any, NamedTuple
+
+from stonecove.interface import Node, NodeState, Settings
+from stonecove.membership import Member, MembershipSink, MembersTold, PurgeTold, Told
+from stonecove.wire.buffer import Buffer
+
+MOST_FRAME = 1 << 20  # bytes of the longest frame: a list of many thousand nodes
+
+NOTHING, WHOLE, CHANGES, OBJECT, GROUP = range(5)
+
+_LENGTH = struct.Struct(">I")
+_HEAD = struct.Struct(">QB")  # what the length counts, before the payload
+_RECORD = struct.Struct(">IIHBBBHIQ")
+_OBJECT = struct.Struct(">QQ")
+_GROUP = struct.Struct(">HQ")
+_HELLO = struct.Struct(">Q")
+_STATES = {0: NodeState.READY, 1: NodeState.DRAINING, 2: NodeState.GONE}
+_LIFECYCLES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
+
+
+class ChangeLogError(Exception):
+    """Bytes or JSON that are no events of a change log."""
+
+
+class Frame(NamedTuple):
+    """One frame that came in whole."""
+
+    number: int
+    kind: int
+    payload: bytes
+
+
+def frames(buffer: Buffer) -> Iterator[Frame]:
+    """All frames that are whole; raises ChangeLogError on a length that none can have."""
+    while len(buffer) >= _LENGTH.size:
+        (length,) = buffer.unpack(_LENGTH)
+        if not _HEAD.size <= length <= MOST_FRAME:
+            raise ChangeLogError(f"a frame of {length} bytes")
+        if len(buffer) < _LENGTH.size + length:
+            return
+        buffer.skip(_LENGTH.size)
+        number, kind = buffer.unpack(_HEAD)
+        buffer.skip(_HEAD.size)
+        yield Frame(number, kind, buffer.take(length - _HEAD.size))
+
+
+def _members(payload: bytes) -> tuple[Member, ...]:
+    """The records of a list. A state that is not known takes no new work, like a node that drains."""
+    return tuple(
+        Member(Node(node, kind, float(started), _STATES.get(state, NodeState.DRAINING), cell, zone,
+                    weight / 1000.0), str(IPv4Address(address)), port)
+        for node, address, port, state, zone, kind, cell, weight, started in _RECORD.iter_unpack(payload))
+
+
+def _event(frame: Frame) -> Told | None:
+    """What a frame tells; None if nothing, or nothing that is known here."""
+    try:
+        if frame.kind in (WHOLE, CHANGES):
+            return MembersTold(frame.kind == WHOLE, _members(frame.payload))
+        if frame.kind == OBJECT:
+            key, time = _OBJECT.unpack(frame.payload)
+            return PurgeTold(float(time), 0, key)
+        if frame.kind == GROUP:
+            group, time = _GROUP.unpack(frame.payload)
+            return PurgeTold(float(time), group, 0)
+    except struct.error as error:
+        raise ChangeLogError(f"event {frame.number} of kind {frame.kind}: {error}") from error
+    return None
+
+
+class Follower:
+    """Takes events in once each and in order, over as many connections as it needs."""
+
+    def __init__(self, last: int) -> None:
+        self.last = last  # number of the last event that was taken in
+        self._jumped = 0  # number of the event that last came too early
+
+    def hello(self) -> bytes:
+        """The first bytes on a connection: later events than the last are wanted."""
+        return _HELLO.pack(self.last)
+
+    def take(self, frame: Frame, sink: MembershipSink) -> bool:
+        """Tells the sink of an event that is new; False if some before it are missing: ask for them anew."""
+        if frame.kind == NOTHING:
+            return True
+        if frame.number <= self.last:
+            return True
+        if frame.number > self.last + 1 and not self._accept_gap(frame.number):
+            return False
+        event = _event(frame)
+        self.last = frame.number
+        if event is not None:
+            sink.told(event)
+        return True
+
+    def _accept_gap(self, number: int) -> bool:
+        """Guards against asking for good for events that the log no longer has: the second time it is so."""
+        again, self._jumped = number == self._jumped, number
+        return again
+
+
+def _place(names: Sequence[str], name: str) -> int:
+    if name not in names:
+        raise ChangeLogError(f"the settings know no {name!r}")
+    return names.index(name)
+
+
+def member_from(entry: dict[str, Any], settings: Settings) -> Member:
+    """One node of the JSON."""
+    ident, (host, _, port) = str(entry["instanceId"]), str(entry["hostPort"]).rpartition(":")
+    if not ident.startswith("s-"):
+        raise ChangeLogError(f"a node is called {ident!r}")
+    node = Node(int(ident[2:], 16), _place(settings.kinds, str(entry["machineType"])),
+                float(entry.get("startedAtMs", 0)),
+                _LIFECYCLES.get(str(entry["lifecycle"]), NodeState.DRAINING), int(entry.get("cell", 0)),
+                _place(settings.zones, str(entry["zone"])), float(entry.get("weight", 0.0)))
+    return Member(node, host, int(port))
+
+
+def known_events(known: dict[str, Any], settings: Settings) -> Iterator[Told]:
+    """The events that the configuration holds; raises ChangeLogError if they can't be read."""
+    try:
+        for event in known.get("results", []):
+            if fleet := event.get("fleet"):
+                members = tuple(member_from(entry, settings) for entry in fleet["instances"])
+                yield MembersTold(bool(fleet.get("reset", False)), members)
+            elif purge := event.get("invalidate"):
+                key = int(str(purge["object"]), 16) if "object" in purge else 0
+                yield PurgeTold(float(purge["time"]), int(purge.get("bucket", 0)), key)
+    except KeyError as error:
+        raise ChangeLogError(f"an event lacks {error}") from error
+    except (AttributeError, TypeError, ValueError) as error:
+        raise ChangeLogError(f"an event can't be read: {error}") from error
