--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -376,6 +376,7 @@
         self.attempts: list[Attempt] = []
         self.missed = False
         self.spares = False  # the origin is not asked for it
+        self.why = "no_cache"  # why no attempt could be sent, for the operators
         self.tried: set[NodeId] = set()
         self.bad_sources: set[NodeId] = set()
 
@@ -428,6 +429,12 @@
             handler(now, event)
         return self._out
 
+    def figures(self, now: float) -> dict[str, float]:
+        """For the operators: what the decisions rest on now."""
+        return {"link_out": float(self._link.out), "link_carries": self._link.carries,
+                "link_slowed": self._link.slowed(now), "fill_wait": self._wait,
+                "origin_slowed": self._origin.slowed(now), "retry_budget": self._hedges}
+
     # -- the list --
 
     def _on_list(self, now: float, event: Listed) -> None:
@@ -470,7 +477,7 @@
 
     def _on_request(self, now: float, event: Request) -> None:
         if not 0 <= event.kind < len(self._set.classes):
-            self._out.append(Refuse(event.req, 0.0))
+            self._out.append(Refuse(event.req, 0.0, "class"))
             return
         cls = self._set.classes[event.kind]
         work = event.size / self._pace * 1000.0
@@ -495,6 +502,7 @@
             self._random.random() * self._origin.slowed(now) > ORIGIN_PUSH)
         look = not held.cls.never_kept and (look or self._link_crowded(now, held))
         if held.missed and (look or held.spares):
+            held.why = "link" if look else "origin"
             return False
         for node in self._cache_choices(now, held):
             for source in (node,) if look else self._source_choices(now, held, node):
@@ -658,7 +666,10 @@
         held.missed |= event.outcome is Outcome.MISS
         # What no cache has seen adds no work when it is tried again; a break is made good once a request.
         free = event.outcome in _UNSEEN or (event.outcome is Outcome.RESET and len(held.attempts) == 1)
-        if held.pending() or (now < held.deadline and (free or self._may_spend()) and self._try(now, held)):
+        if held.pending():
+            return
+        held.why = "time" if now >= held.deadline else "retry_budget"
+        if now < held.deadline and (free or self._may_spend()) and self._try(now, held):
             return
         self._give_up(held)
 
@@ -792,7 +803,7 @@
             held.cls.effect is Effect.KEYED and held.cls.group is KeyGroup.ALL)
         if harmless:  # danger: refused clients that come back all together
             pause = self._set.longest_pause * self._random.uniform(0.5, 1.0) if self._set.may_pause else 0.0
-            self._out.append(Refuse(held.request.req, pause))
+            self._out.append(Refuse(held.request.req, pause, held.why))
         else:
             self._out.append(Fail(held.request.req))
         self._close(held)
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -67,7 +67,10 @@
             "_bytes_per_kb": FIXED,
         },
     ),
-    Book: ("", {"_clock": WIRING, "_admit": WIRING, "_post": WIRING, "counts": SAID}),
+    Book: (
+        "",
+        {"_clock": WIRING, "_admit": WIRING, "_post": WIRING, "counts": SAID, "_waited": SAID},
+    ),
     relay.Relay: ("", {"_settings": FIXED, "_book": WIRING}),
     send.Send: (
         "most_links _links _where",
@@ -156,7 +159,7 @@
     ),
     choice.Held: (
         "work deadline aim attempts missed spares tried bad_sources",
-        {"request": DERIVED, "cls": DERIVED},
+        {"request": DERIVED, "cls": DERIVED, "why": SAID},
     ),
     choice.Attempt: (
         "node source sent due fills budget beside pending may_have_run overdue",
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -257,6 +257,7 @@
 
     req: int
     pause: float
+    why: str = ""  # for the operators
 
 
 class Fail(NamedTuple):
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -35,7 +36,7 @@
 KILL_MARGIN = 0.5  # so long before SIGKILL all is answered
 LAST_WRITE = 0.3  # seconds left then to write the answers out
 MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
-STATS_EVERY = 10.0
+STATS_EVERY = 5.0
 CLIENT_IDLE = 60_000.0  # ms after which a client connection with nothing open is closed
 CHECK_EVERY = 0.25  # seconds between two looks at what clients are sending
 LAG = 0.5  # seconds by which a look may come late before it says more of us than of the clients
@@ -178,9 +179,12 @@
 
     async def _stats(self) -> None:
         while True:
+            before, due = time.process_time(), trio.current_time() + STATS_EVERY
             await trio.sleep(STATS_EVERY)
+            late = (trio.current_time() - due) * 1000.0
             self._route.book.line(open=len(self._route.requests), clients=len(self._clients),
-                                  links=self._route.send.links())
+                                  links=self._route.send.links(), late=late,
+                                  cpu_ms=(time.process_time() - before) * 1000.0, **self._route.figures())
             limit = self._clock.now() - CLIENT_IDLE
             for client in list(self._clients):
                 if client.idle() and client.last_used <= limit:
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -47,15 +47,16 @@
         deadline = min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest)
         return self._requests.add(asked, deadline, holds)
 
-    def too_much(self, now: float, since: float, kind: int) -> bool:
-        """Whether a request that came then is to be refused, as there is more to do than we can.
+    def too_much(self, now: float, since: float, kind: int) -> str:
+        """Why a request that came then is to be refused, as there is more to do than we can; else empty.
 
         Guards against all becoming late together: what is refused is refused early, and of less worth first.
         """
         if now - since > self._patience[kind]:
-            return True
+            return "waited"
         left = self.cpu.left()
-        return left < 0 and left <= -OVERDRAWN * (self._priority[kind] - min(self._priority))
+        over = left < 0 and left <= -OVERDRAWN * (self._priority[kind] - min(self._priority))
+        return "cpu" if over else ""
 
     def pause(self) -> float:
         """For how long a client that we refuse should stay away; spread, or all come back together."""
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from stonecove.interface import Ended, Event, Outcome
+from stonecove.interface import Ended, Event, Note, Outcome
 from stonecove.ground.clock import Clock
 from stonecove.ground.log import log
 from stonecove.memory.requests import Attempt, OpenRequest
@@ -20,6 +20,7 @@
         self._admit = admit
         self._post = post
         self.counts: Counter[str] = Counter()
+        self._waited = 0.0  # the longest that a request waited for its decision, in ms
 
     def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, waited: float = 0.0,
               load: tuple[float, ...] = ()) -> None:
@@ -30,6 +31,8 @@
         if attempt.alarm is not None:
             attempt.alarm.off()
         self.counts[outcome.name.lower()] += 1
+        if note:
+            self.counts[f"note_{Note(note).name.lower()}"] += 1
         request, order = attempt.request, attempt.order
         took = self._clock.now() - (attempt.written_at or attempt.ordered_at)
         self._post(Ended(request.req, attempt.number, order.node, outcome, took, request.answered, note,
@@ -43,7 +46,12 @@
                 request.backstop.off()
             self._admit.leave(request)
 
+    def waited(self, time: float) -> None:
+        """A request has waited so long for its decision."""
+        self._waited = max(self._waited, time)
+
     def line(self, **more: object) -> None:
         """Writes what was counted since the last line."""
-        log("stats", **more, **dict(sorted(self.counts.items())))
+        log("stats", **more, waited=self._waited, **dict(sorted(self.counts.items())))
         self.counts.clear()
+        self._waited = 0.0
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -81,8 +81,9 @@
 
     def _decide(self, came: float, request: OpenRequest) -> None:
         now, asked = self._clock.now(), request.asked
-        if self.admit.too_much(now, came, asked.kind):
-            self.book.counts["shed"] += 1
+        self.book.waited(now - came)
+        if why := self.admit.too_much(now, came, asked.kind):
+            self.book.counts[f"shed_{why}"] += 1
             self.relay.answer(request, Answer(Verdict.REFUSED, pause=self.admit.pause()))
         else:
             self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size,
@@ -119,6 +120,10 @@
                 zone=node.zone, started=f"{node.started:.0f}", at=f"{member.host}:{member.port}")
         self.send.gone()
 
+    def figures(self) -> dict[str, float]:
+        """What the decisions rest on, for the operators."""
+        return self._director.figures(self._clock.now())
+
     def post(self, event: Event) -> None:
         """Queues an event and, unless that is going on already, works the queue off."""
         self._events.append(event)
@@ -166,6 +171,7 @@
 
     def _refuse(self, act: Refuse) -> None:
         if request := self.requests.get(act.req):
+            self.book.counts[f"refused_{act.why}"] += 1
             self.relay.answer(request, Answer(Verdict.REFUSED, pause=act.pause))
 
     def _fail(self, act: Fail) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -312,7 +312,7 @@
 
 
 def test_odd_requests_are_answered(world: World) -> None:
-    assert world.ask(kind=9) == [Refuse(1, 0.0)]
+    assert world.ask(kind=9) == [Refuse(1, 0.0, "class")]
     assert len(world.ask(grace=0.0)) == 1
     assert gets(world.ask(size=0.0)) and gets(world.ask(part=-1, group=-4))
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,10 +15,16 @@
 from typing import Any
 
 import pytest
+from stonecove import exchange
+from stonecove.ground.clock import Clock
+from stonecove.ground.log import divert
+from stonecove.ground.timers import Timers
 from stonecove.memory.budget import Budget
 from stonecove.memory.requests import OpenRequests
 from stonecove.settings import settings_from
 from stonecove.stages.admit import Admit
+from stonecove.stages.route import Route
+from stonecove.wire.channel import Channel, Owner
 
 from stand import (PATIENCE, SETTINGS, Answer, Cache, ChangeLog, Client, Fetch, Hanging, Stand, pair, record,
                    resp)
@@ -858,3 +864,26 @@
     done = subprocess.run([sys.executable, "-m", "stonecove"], env={"RELAY_CONFIG": str(path)},
                           capture_output=True, text=True, timeout=PATIENCE)
     assert done.returncode == 2 and done.stderr.startswith("stonecove: ") and done.stderr.count("\n") == 1
+
+
+
+def test_the_stats_line_tells_why_requests_were_refused() -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    clock, answers = Clock(lambda: 1000.0), list[exchange.Answer]()
+    budget = Budget()
+    budget.most = 1e9
+    route = Route(settings_from(SETTINGS), 7, clock, Timers(clock, lambda: 0.0), budget, 0.0, never_connects)
+    route.asked(exchange.Asked("9b1f03aa5c7e2d41", "image", "7f3a9c21e0b4d655", "0", 0, 7, 0, 17, 4.5, 3000.0,
+                               "", b"", answers.append))
+    assert not route.decide()
+    divert(lambda event, fields: lines.append((event, fields)))
+    try:
+        route.book.line(**route.figures())
+    finally:
+        divert(None)
+    assert [answer.verdict for answer in answers] == [exchange.Verdict.REFUSED]
+    assert [(event, fields["refused_no_cache"]) for event, fields in lines] == [("stats", 1)]
+
+
+def never_connects(owner: Owner, address: tuple[str, int], patience: float) -> Channel:
+    raise AssertionError("there is nobody to connect to")
