Take a link whose size is not told as crowded only by the pace felt

Director.__init__ made that a link of 0 transfers and Load.of (choice.py) rounded it up to one, so Load.pace called the location's link crowded as soon as two or three fills were out. From then on caches were only looked at, and every miss was refused:

stats link_out=9.0 link_carries=1.0 link_slowed=1.3 miss=2039 refused=2054 refused_link=391 refused_retry_budget=1645

link_slowed shows that nothing was slow; the look's miss either met the crowded link again (link) or found no retry budget, which hundreds of needless misses a second had spent (retry_budget). Refused clients came back at once, so tries per request rose from stretch to stretch, and full-media, whose size makes a link look crowded soonest, fared worst. Ruled out: caches and network (err, full, conn, reset 0 to 3), the origin (origin_slowed=1.0), memory and descriptors (30 of 128 MB, 83 of 1024).

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -331,7 +331,12 @@
 
     @classmethod
     def of(cls, size: float, share: float, span: float) -> Load:
-        """A director's part of a link for so many transfers at once."""
+        """A director's part of a link for so many transfers at once; of size 0, only the pace felt counts.
+
+        Danger: a size that is not told, taken for a link that is full at once.
+        """
+        if size <= 0:
+            return cls(math.inf, 0.0, span)
         part = size * share
         return cls(max(1.0, part), CHANCE * math.sqrt(part * (1 - share)), span)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -237,6 +237,17 @@
     assert isinstance(missed[-1], Refuse) and not gets(missed)
 
 
+def test_a_link_whose_size_is_not_told_is_crowded_only_once_it_feels_slow() -> None:
+    """Its location may fill as many objects at once as come fast enough."""
+    settings = make_settings(weighted=True, zone_link=(0.0, 0.0, 0.0))
+    world = World(settings, [n._replace(weight=500.0) for n in make_nodes()])
+    out = [gets(world.ask(key=key, size=400.0))[0] for key in range(12)]
+    assert all(get.source in PARENTS for get in out)
+    world.director._link.felt(world.now, 4000.0, 400.0)
+    look = gets(world.ask(key=99, size=400.0))[0]
+    assert look.source == look.node
+
+
 def test_slow_answers_from_one_cache_send_large_objects_on(world: World) -> None:
     """Others crowd the cache: this director has hardly any work there itself."""
     order = world.director._caches.order(1)
