Log failed attempts with their node and connection, and memory and collections

Each failed attempt (timeout, connect_failed, reset, error, full) is a line, five a second at most, and one whose time ran out tells of its connection. The stats line gives resident memory, bytes held, full collections and connections opened.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -5,6 +5,7 @@
 import errno
 import gc
 import heapq
+import resource
 import select
 import signal
 import socket
@@ -12,6 +13,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
+from pathlib import Path
 
 import trio
 
@@ -183,7 +185,8 @@
             await trio.sleep(STATS_EVERY)
             late = (trio.current_time() - due) * 1000.0
             self._route.book.line(open=len(self._route.requests), clients=len(self._clients),
-                                  links=self._route.send.links(), late=late,
+                                  links=self._route.send.links(), late=late, held_kb=self._budget.used / 1e3,
+                                  resident_mb=_resident(), collections=gc.get_stats()[2]["collections"],
                                   cpu_ms=(time.process_time() - before) * 1000.0, **self._route.figures())
             limit = self._clock.now() - CLIENT_IDLE
             for client in list(self._clients):
@@ -258,6 +261,11 @@
         await Server(config, nursery).run(listener)
 
 
+def _resident() -> float:
+    """Megabytes of memory that the process holds."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize() / 1e6
+
+
 def _calm_collector() -> None:
     """What is there at the start stays, and requests leave few cycles: look for them seldom."""
     gc.collect()
--- a/stonecove/memory/budget.py
+++ b/stonecove/memory/budget.py
@@ -10,6 +10,11 @@
         self.most = 0.0
         self._used = 0
 
+    @property
+    def used(self) -> int:
+        """How many bytes are held."""
+        return self._used
+
     def has(self, count: int) -> bool:
         """Whether so many bytes more may be held."""
         return self._used + count <= self.most
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -7,10 +7,12 @@
 
 from stonecove.interface import Ended, Event, Note, Outcome
 from stonecove.ground.clock import Clock
-from stonecove.ground.log import log
+from stonecove.ground.log import log, log_some
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.admit import Admit
 
+TOLD = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR)
+
 
 class Book:
     """Tells the decisions of every end, exactly once."""
@@ -35,6 +37,10 @@
             self.counts[f"note_{Note(note).name.lower()}"] += 1
         request, order = attempt.request, attempt.order
         took = self._clock.now() - (attempt.written_at or attempt.ordered_at)
+        if outcome in TOLD:
+            log_some("attempt-failed", outcome=outcome.name.lower(), node=f"s-{order.node:08x}",
+                     source=f"s-{order.source:08x}", cls=request.asked.cls, kb=request.asked.size,
+                     note=note, took=took, attempt=attempt.number)
         self._post(Ended(request.req, attempt.number, order.node, outcome, took, request.answered, note,
                          waited, load))
         self.close_if_over(request)
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -168,6 +168,7 @@
                 return link
         fair = max(2, self.most_links // max(1, len(self._links)))
         if len(links) < min(MOST_LINKS, fair) and (self.links() < self.most_links or self._make_room()):
+            self._book.counts["connections_opened"] += 1
             link = Link(node, self, address, now)
             link.connection = self._connect(link, address, max(self._settings.connect_timeout, 1.0) / 1000.0)
             self._links.setdefault(node, []).append(link)
@@ -221,6 +222,11 @@
 
     def late(self, attempt: Attempt) -> None:
         """The time of an attempt has run out; one that was never written surely did not run."""
+        if link := self._where.get(attempt):
+            now = self._clock.now()
+            log_some("attempt-late", node=f"s-{link.node:08x}", at=":".join(map(str, link.address)),
+                     up=link.connection.up, opened_ms=now - link.opened_at, heard_ms=now - link.heard_at,
+                     written_ms=now - attempt.written_at if attempt.written_at else -1.0, open=len(link.open))
         self.cancel(attempt, Outcome.TIMEOUT if attempt.written_at else Outcome.CONNECT_FAILED)
 
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
