Free connections, requests and hash orders as soon as they are over

Three reference cycles kept what was over until a full collection, and _calm_collector (lifecycle/serve.py) lets none come within hours: a Link and its Channel (stages/send.py, wire/channel.py), each with a read buffer of tens of KB that the collector's count doesn't see; a request and its attempts (memory/requests.py); a Ring and the cache of its own bound method (choice.py), made anew with each change of the list.

Ruled out: bytes held for requests and answers (held_kb), descriptors (187 of 256), open requests (open=15 to 50). The cycles are broken where they end; tests/test_memory.py fails without each.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -12,7 +12,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import Any
 
 from stonecove.interface import (Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get, How,
@@ -179,17 +179,20 @@
     return mix(request.key + mix(request.part)) if request.part else request.key
 
 
+def hash_order(weights: Sequence[tuple[NodeId, float]], key: int) -> tuple[NodeId, ...]:
+    """The nodes in the order in which they are home to the key."""
+    scores = [(math.log(unit(key, node)) / weight, node) for node, weight in weights]
+    return tuple(node for _, node in sorted(scores, reverse=True))
+
+
 class Ring:
     """Weighted rendezvous hashing over some nodes; orders are cached until the list changes."""
 
     def __init__(self, nodes: Sequence[Node], weighted: bool) -> None:
         self.nodes = {node.node: node for node in nodes}
-        self._weights = [(node.node, node.weight if weighted and node.weight > 0 else 1.0) for node in nodes]
-        self.order = lru_cache(TABLE_MOST)(self._order)
-
-    def _order(self, key: int) -> tuple[NodeId, ...]:
-        scores = [(math.log(unit(key, node)) / weight, node) for node, weight in self._weights]
-        return tuple(node for _, node in sorted(scores, reverse=True))
+        weights = [(node.node, node.weight if weighted and node.weight > 0 else 1.0) for node in nodes]
+        # Danger: a method of its own here would keep the ring in memory after the list has changed.
+        self.order = lru_cache(TABLE_MOST)(partial(hash_order, weights))
 
 
 # ---- Health ----
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -70,11 +70,17 @@
         return self._open.get(req)
 
     def drop(self, req: int) -> bool:
-        """Forgets a request that is over; says whether it was known until now."""
+        """Forgets a request that is over; says whether it was known until now.
+
+        Guards against one that is still held by a cycle with its attempts, its client's connection and all.
+        """
         request = self._open.pop(req, None)
-        if request is not None and self._txns.get(request.asked.txn) is request:
+        if request is None:
+            return False
+        if self._txns.get(request.asked.txn) is request:
             del self._txns[request.asked.txn]
-        return request is not None
+        request.attempts.clear()
+        return True
 
     def waiting(self) -> list[Attempt]:
         """Attempts of which nothing has been written yet."""
--- a/stonecove/wire/channel.py
+++ b/stonecove/wire/channel.py
@@ -113,9 +113,13 @@
         self.up = self.up or isinstance(error, ConnectionResetError)
 
     def ended(self, why: str = "") -> None:
-        """It is over; to be called once, as the last."""
+        """It is over; to be called once, as the last.
+
+        Guards against a connection that is over and still held by a cycle with its owner, buffer and all.
+        """
         self.over = True
         self._owner.closed(self, why or self._why)
+        del self._owner
 
     # -- writing --
 
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,91 @@
+"""What is over is freed at once: the collector looks seldom, and a buffer weighs nothing in its count."""
+
+from __future__ import annotations
+
+import gc
+import weakref
+from collections.abc import Iterator
+
+import pytest
+from conftest import CACHES, World
+
+from stand import SETTINGS
+from stonecove.exchange import Answer, Asked, Verdict
+from stonecove.ground.clock import Clock
+from stonecove.ground.timers import Timers
+from stonecove.interface import ListKind, Node, NodeState
+from stonecove.membership import Member, MembersTold
+from stonecove.memory.budget import Budget
+from stonecove.settings import settings_from
+from stonecove.stages.route import Route
+from stonecove.wire.channel import Channel, Owner
+
+
+@pytest.fixture(autouse=True)
+def no_collector() -> Iterator[None]:
+    gc.disable()
+    yield
+    gc.enable()
+
+
+class Client:
+    """Whoever asked."""
+
+    def __init__(self) -> None:
+        self.answers: list[Answer] = []
+
+    def reply(self, answer: Answer) -> None:
+        self.answers.append(answer)
+
+
+class Bench:
+    """A route with two caches, whose connections never come up by themselves."""
+
+    def __init__(self) -> None:
+        clock, budget = Clock(lambda: 1000.0), Budget()
+        budget.most = 1e9
+        self.channels: list[Channel] = []
+        self.route = Route(settings_from(SETTINGS), 7, clock, Timers(clock, lambda: 0.0), budget, 0.0,
+                           self._connect)
+        self.clock = clock
+        self.route.send.most_links = 8
+        kinds = ((0x10, 0, 1), (0x11, 0, 1), (0x30, 2, 0))
+        self.route.told(MembersTold(True, tuple(
+            Member(Node(node, kind, 0.0, NodeState.READY, 0, zone, 9000.0), "127.0.0.1", 1)
+            for node, kind, zone in kinds)))
+
+    def _connect(self, owner: Owner, address: tuple[str, int], patience: float) -> Channel:
+        self.channels.append(Channel(owner, self.clock.now))
+        return self.channels[-1]
+
+    def ask(self, client: Client) -> None:
+        request = self.route.asked(Asked("9b1f03aa5c7e2d41", "image", "7f3a9c21e0b4d655", "0", 0, 7, 0, 17,
+                                         4.5, 3000.0, "", b"", client.reply))
+        assert request is not None and not self.route.decide()
+
+
+def test_a_connection_that_is_over_is_freed_with_its_buffer() -> None:
+    bench = Bench()
+    bench.ask(Client())
+    assert len(bench.channels) == 1
+    held = weakref.ref(bench.channels[0].buffer)
+    bench.channels.pop(0).ended("refused")
+    assert held() is None
+
+
+def test_a_request_that_is_over_is_freed_with_its_attempts() -> None:
+    bench, client = Bench(), Client()
+    held = weakref.ref(client)
+    bench.ask(client)
+    while bench.channels:
+        bench.channels.pop(0).ended("refused")
+    assert [answer.verdict for answer in client.answers] == [Verdict.REFUSED]
+    del client
+    assert held() is None
+
+
+def test_the_orders_of_an_old_list_are_freed_with_it(world: World) -> None:
+    world.ask(key=1)
+    held = [weakref.ref(world.director._caches), weakref.ref(world.director._parents)]
+    world.list(CACHES[0], ListKind.DELTA, weight=3.0)
+    assert [ring() for ring in held] == [None, None]
