Take a parent whose size is not told as crowded only by the pace felt

Such a parent is now crowded only by the pace felt there. The cold budget keeps its least figure of one transfer.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -261,7 +261,7 @@
         sent = self.sent.setdefault(node.node, deque())
         while sent and sent[0][0] <= now - self._window:
             sent.popleft()
-        allowed = self._multiple * present * self._window * capacity * share * HEADROOM
+        allowed = self._multiple * present * self._window * max(1.0, capacity) * share * HEADROOM
         return sum(work for _, work in sent) + work <= allowed
 
     def charge(self, now: float, node: NodeId, work: float) -> list[float]:
@@ -646,13 +646,16 @@
         return (limit if limit < math.inf else 0.0), how
 
     def _bears(self, node: Node) -> tuple[float, float]:
-        """Transfers at once, told by the weight or else a part of the links that it feeds; our share."""
+        """Transfers at once, told by the weight or else a part of the links that it feeds; our share.
+
+        Where neither is told, a parent's are 0, and a cache's begin at one and are learned from its hits.
+        """
         if node.kind == self._set.parent_kind:
             share = 1.0 / max(1, self._set.fleet)
             size = sum(self._set.zone_link) / self._pace / max(1, len(self._parents.nodes))
         else:
-            share, size = self._zone_share, self._link_size / max(1, len(self._caches.nodes))
-        return max(1.0, node.weight if self._set.weighted and node.weight > 0 else size), share
+            share, size = self._zone_share, max(1.0, self._link_size / max(1, len(self._caches.nodes)))
+        return node.weight if self._set.weighted and node.weight > 0 else size, share
 
     # -- ends of attempts --
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -416,6 +416,17 @@
     assert first.node in {gets(world.ask(key=key, size=10.0))[0].node for key in range(300, 320)}
 
 
+def test_a_parent_whose_size_is_not_told_stays_the_source_until_it_feels_slow() -> None:
+    """Its objects meet there, whatever number of them is out at once."""
+    nodes = [n._replace(weight=0.0 if n.kind == 1 else 500.0) for n in make_nodes()]
+    world = World(make_settings(weighted=True, zone_link=(0.0, 0.0, 0.0)), nodes)
+    for key in range(40):
+        get = gets(world.ask(key=key, size=400.0))[0]
+        assert get.source == world.director._parents.order(key)[0]
+    world.director._load(get.source).felt(world.now, 90_000.0, 1000.0)
+    assert gets(world.ask(key=39, size=400.0))[0].source != get.source
+
+
 def test_fills_from_a_crowded_parent_go_on_to_the_next_source() -> None:
     nodes = [n._replace(weight=4.0 if n.kind == 1 else 200.0) for n in make_nodes()]
     world = World(make_settings(weighted=True, zone_link=(0.0, 900_000.0, 0.0)), nodes)
