Refuse for our CPU share only those who have waited

Admit.too_much (stages/admit.py) refused each request while the CPU credit was overdrawn, though nobody waited.

Now a request is refused for our share only once it has waited for 20 ms, so refusals end as the queue does. Ruled out as the cause of the last stretch's refusals: caches, link and origin (err 0, link_slowed=1.1, origin_slowed=1.0), client and cache connections, memory.

--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -15,7 +15,7 @@
 MOST_ANSWER = 240_000  # bytes of the longest object
 LONGEST = 60_000.0  # ms; a client may claim to wait for longer, but is not kept in memory for it
 PATIENCE = 0.4  # part of the wanted time that a request of the mean worth may wait for its decision
-LEAST_PATIENCE = 20.0  # ms of it at least
+LEAST_PATIENCE = 20.0  # ms of it at least; who has not waited for longer is not refused for our CPU either
 OVERDRAWN = 0.02  # seconds of CPU by which we are over our share when a request of the mean worth is refused
 
 
@@ -51,9 +51,14 @@
         """Why a request that came then is to be refused, as there is more to do than we can; else empty.
 
         Guards against all becoming late together: what is refused is refused early, and of less worth first.
+        While nobody waits, nobody is refused: a refusal costs a good part of a request, and its client comes
+        back at once.
         """
-        if now - since > self._patience[kind]:
+        waited = now - since
+        if waited > self._patience[kind]:
             return "waited"
+        if waited <= LEAST_PATIENCE:
+            return ""
         left = self.cpu.left()
         over = left < 0 and left <= -OVERDRAWN * (self._priority[kind] - min(self._priority))
         return "cpu" if over else ""
