Start a cache whose size is not told as unknown, not as one transfer

_bears (choice.py) rounded a cache's untold size up to one transfer, so a router that had just started, or was told of a new cache, held each cache for crowded with two large objects out, and _cache_choices yielded none though all were idle. It unlearned that by a tenth of an answer at a time.

Now the size is unknown until a hit is slow beside others, as for the link and the parents; of caches that all are unknown, a hot object goes to the one with the least of our work.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -531,7 +531,8 @@
         spread = self._spread(held.request.key, len(order))
         if spread > 1 and len(good) > 1:
             loads = {node: self._load(node) for node in good[:spread]}
-            good[:spread] = sorted(loads, key=lambda node: loads[node].work / loads[node].carries)
+            good[:spread] = sorted(loads, key=lambda node: (loads[node].work / loads[node].carries,
+                                                            loads[node].work))
         # Danger: one cache's link is crowded while its neighbours idle; bounded loads walk on.
         yield from (node for node in good if not self._crowded(now, held, node))
         if not good:
@@ -652,13 +653,13 @@
     def _bears(self, node: Node) -> tuple[float, float]:
         """Transfers at once, told by the weight or else a part of the links that it feeds; our share.
 
-        Where neither is told, a parent's are 0, and a cache's begin at one and are learned from its hits.
+        Where neither is told they are 0, unknown; a cache's are learned from its hits.
         """
         if node.kind == self._set.parent_kind:
             share = 1.0 / max(1, self._set.fleet)
             size = sum(self._set.zone_link) / self._pace / max(1, len(self._parents.nodes))
         else:
-            share, size = self._zone_share, max(1.0, self._link_size / max(1, len(self._caches.nodes)))
+            share, size = self._zone_share, self._link_size / max(1, len(self._caches.nodes))
         return node.weight if self._set.weighted and node.weight > 0 else size, share
 
     # -- ends of attempts --
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -440,6 +440,16 @@
     assert out[0].source in PARENTS and out[-1].source == out[-1].node
 
 
+def test_caches_of_untold_size_are_not_thought_crowded_by_a_router_that_starts() -> None:
+    world = World(make_settings(zone_link=(0.0, 0.0, 0.0)))
+    out = [gets(world.ask(key=key, size=400.0)) for key in range(30)]
+    assert all(out)
+    for gotten in out:
+        world.give(Ended(gotten[0].req, 0, gotten[0].node, Outcome.OK, 900.0, True, Note.HIT, 0.0, ()))
+    learned = world.director._load(out[-1][0].node).carries
+    assert 1.0 <= learned < math.inf
+
+
 def test_a_parent_whose_size_is_not_told_stays_the_source_until_it_feels_slow() -> None:
     """Its objects meet there, whatever number of them is out at once."""
     nodes = [n._replace(weight=0.0 if n.kind == 1 else 500.0) for n in make_nodes()]
