Never send an attempt whose client has left or has its answer

Seen (reading, then a forced crossing): an attempt that waits for its connection to come up, or is moved to another by Send.down, was judged by Send.may_go, which looked at the attempt's end, purges and the nodes' states, not at the request. Where the settings allow no cancelling the module orders none (Director._close), so the attempt went out when the connection came up, up to connect_timeout after the client had closed or aborted. Lines at fault: stages/send.py may_go; stages/route.py left, which told only the module. Ruled out: with cancelling allowed the module's Cancel takes the attempt off in time. Test: a connection held back (Hanging), an ABORT crossing it, no cancelling allowed; without the mend the router holds a second connection for it and the abandoned request goes out.

--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -94,6 +94,9 @@
         if not request.answered:
             self.relay.left(request)
             self.post(Left(request.req))
+            for attempt in list(request.attempts):
+                if not attempt.written_at:
+                    self.send.may_go(attempt)
 
     def told(self, event: Told) -> None:
         """News of nodes or a purge. What waits to be written is looked at again, once the module knows."""
