--- a/stonecove/exchange.py
+++ b/stonecove/exchange.py
@@ -43,6 +43,7 @@
     seen: str  # tag of the copy that the client holds; empty if none
     body: bytes
     reply: Callable[[Answer], None]
+    idempotency_key: str = ""  # by which caches know a repeat; empty if the client named none
 
 
 class BadRequestError(Exception):
--- a/stonecove/stages/intake.py
+++ b/stonecove/stages/intake.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Callable, Mapping
 
-from stonecove.interface import Settings
+from stonecove.interface import Effect, Settings
 from stonecove.exchange import Answer, Asked, BadRequestError
 
 PATH = "/svc/"
@@ -17,6 +17,7 @@
 _WHOLE = re.compile(r"[0-9]{1,9}")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _TAG = re.compile(r"[0-9A-Za-z._-]{1,64}")
+_TOKEN = re.compile(r"[!-+\--~]{1,128}")  # what a field list can carry: printable, without blanks and commas
 
 
 def _field(fields: Mapping[str, str], name: str, form: re.Pattern[str], default: str | None = None) -> str:
@@ -49,6 +50,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self._keyed = {place for place, cls in enumerate(settings.classes) if cls.effect is Effect.KEYED}
 
     def take(self, path: str, fields: Mapping[str, str], body: bytes,
              reply: Callable[[Answer], None]) -> Asked:
@@ -61,9 +63,15 @@
         ttl = _figure(fields, "X-Ttl-Ms", _NUMBER, LONGEST)
         if ttl <= 0:
             raise BadRequestError(400, "X-Ttl-Ms is 0")
+        kind = self._kinds[cls]
+        key = ""
+        if "X-Txn-Key" in fields or kind in self._keyed:
+            # Guards against repeating what no cache can tell for a repeat.
+            key = _field(fields, "X-Txn-Key", _TOKEN)
         return Asked(
             txn=_field(fields, "X-Txn", _HEX), cls=cls, item=item, chunk=fields.get("X-Seg", "0"),
-            kind=self._kinds[cls], key=int(item, 16), part=int(part),
+            kind=kind, key=int(item, 16), part=int(part),
             group=int(_figure(fields, "X-Bucket", _WHOLE, MOST_GROUP, "0")),
             size=_figure(fields, "X-Working-Set-Kb", _NUMBER, MOST_KB, "0"), ttl=ttl,
-            seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply)
+            seen=_bare(fields.get("X-Etag", "")), body=body, reply=reply,
+            idempotency_key=key)
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -35,6 +35,8 @@
     order, asked = attempt.order, attempt.request.asked
     fields = [("cls", asked.cls), ("item", asked.item), ("chunk", asked.chunk),
               ("limit", str(max(1, int(order.cut_at - now))))]
+    if asked.idempotency_key:
+        fields.append(("nonce", asked.idempotency_key))
     if order.source != order.node:
         fields.append(("from", f"s-{order.source:08x}"))
     if order.keep:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -358,6 +358,35 @@
     assert stand.command("abort").txn == fetch.txn
 
 
+@pytest.fixture
+def keyed() -> Iterator[Stand]:
+    """A router whose class `confirm` is keyed."""
+    changes = {"confirm": {"effect": "token", "group": "all", "window": 5000.0}}
+    running = Stand(classes=[{**cls, **changes.get(cls["name"], {})} for cls in SETTINGS["classes"]])
+    yield running
+    running.close()
+
+
+@pytest.mark.parametrize("path", ["/svc/confirm", "/svc/image"])
+def test_the_idempotency_key_passes_on_unchanged_with_each_attempt(keyed: Stand, path: str) -> None:
+    client = keyed.client()
+    client.send(path=path, X_TXN_KEY="Ab-9/x=1", body=b"")
+    first = keyed.command()
+    first.reply("503", tell="no_slot")
+    second = keyed.command()
+    assert [fetch.fields["nonce"] for fetch in (first, second)] == ["Ab-9/x=1"] * 2
+    second.reply(body=b"done")
+    assert client.answer().body == b"done"
+
+
+@pytest.mark.parametrize("key", [None, "", "a,from=s-1", "a b", "a" * 129])
+def test_a_keyed_request_without_a_usable_key_is_told_so(keyed: Stand, key: str | None) -> None:
+    client = keyed.client()
+    assert client.ask(path="/svc/confirm", X_TXN_KEY=key).status == 400
+    client.send(path="/svc/confirm", X_TXN_KEY="k1")
+    assert keyed.command().fields["nonce"] == "k1"
+
+
 # -- what clients do wrong --
 
 
