--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -213,12 +213,11 @@
         return command(attempt, now)
 
     def cancel(self, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
-        """Gives an attempt up; what was written is aborted by its id, where the settings allow it."""
+        """Gives an attempt up; what was written is aborted by its id."""
         link = self._where.get(attempt)
         if attempt.written_at and link is not None and not link.connection.over:
             link.given_up.append(attempt.request.asked.txn)
-            if self._settings.may_cancel:
-                link.connection.put(Abort(attempt.request.asked.txn))
+            link.connection.put(Abort(attempt.request.asked.txn))
             silent_for = self._clock.now() - max(attempt.written_at, link.heard_at)
             # Guards against a connection on which nothing comes back taking the next attempt, too.
             link.doubtful |= silent_for > SILENT * max(self._settings.connect_timeout, 100.0)
