Begin a keyed repeat only within its class's window

Seen (reading, then a forced crossing): Director._may_repeat judged the window when the repeat was ordered; the stages wrote it when its connection came up, or after Send.down had moved it, up to connect_timeout later. WIRE counts the window from the send of the first attempt that might have run to the send of the repeat, and a repeat after it happens twice. Lines at fault: choice.py _leave and _may_repeat, stages/send.py may_go. An order now tells until when it may begin (Get.begin_by), and the last look before the first byte keeps it. Ruled out: the first attempt's own time counts from its order, never later than its send, so the window is never taken too long; an unsafe class is not repeated while anything may have run. Tests: a repeat ordered within a window of 0.7 s on a connection held back past it: without the mend its bytes go out when the connection comes up; the module's order names the moment.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -392,6 +392,15 @@
         self.tried: set[NodeId] = set()
         self.bad_sources: set[NodeId] = set()
 
+    def first_run(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
+
+    def begin_by(self) -> float:
+        """Danger: a repeat that waits for a connection until the window of its class has passed."""
+        first = self.first_run()
+        return first.sent + self.cls.window if first and self.cls.effect is Effect.KEYED else math.inf
+
     def pending(self) -> int:
         return sum(attempt.pending for attempt in self.attempts)
 
@@ -606,9 +615,11 @@
         fills = source != node and not self._has_copy(now, held, node)
         expected = held.work * self._load(node).pace(now) + (self._wait if fills else 0.0)
         due = now + max(OVERDUE * held.aim, LATE * expected)
+        begin_by = held.begin_by()
         self._begin(held, Attempt(node, source, now, due, fills, entry, self._load(node), self._load(source)))
         keep = 0 if held.cls.never_kept else self._popularity.rank(request.key)
-        self._out.append(Get(request.req, node, held.deadline, source, keep, *self._copy_wanted(now, held)))
+        age, how = self._copy_wanted(now, held)
+        self._out.append(Get(request.req, node, held.deadline, source, keep, age, how, begin_by))
         if due < held.deadline:
             self._out.append(Timer(request.req, due))
         return True
@@ -624,7 +635,7 @@
         """Danger: an effect that happens twice."""
         if held.pending() and not self._set.second_copies:
             return False
-        first = next((attempt for attempt in held.attempts if attempt.may_have_run), None)
+        first = held.first_run()
         if held.cls.effect is Effect.SAFE or first is None:
             return True
         if held.cls.effect is Effect.UNSAFE or now - first.sent >= held.cls.window:
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import marshal
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -297,7 +298,9 @@
 
     def order(self, get: Get) -> tuple[Any, ...]:
         """An order, without the number of its request."""
-        return (get.node, self.time(get.cut_at), get.source, get.keep, _number(get.age), get.how)
+        begin_by = get.begin_by if get.begin_by < math.inf else 0.0
+        return (get.node, self.time(get.cut_at), get.source, get.keep, _number(get.age), get.how,
+                self.time(begin_by))
 
     def attempt(self, attempt: requests.Attempt) -> tuple[Any, ...]:
         """An attempt of the stages."""
--- a/stonecove/explore/peers.py
+++ b/stonecove/explore/peers.py
@@ -168,7 +168,9 @@
             self.closing = True
 
 
-def request_bytes(ident: int, cls: str, txn: str, item: str, ttl: float, seen: str, body: bytes) -> bytes:
+def request_bytes(
+    ident: int, cls: str, txn: str, item: str, ttl: float, seen: str, body: bytes, token: str = ""
+) -> bytes:
     """The records of a whole request."""
     pairs = {
         "SCRIPT_NAME": f"/svc/{cls}",
@@ -180,6 +182,8 @@
     }
     if seen:
         pairs["HTTP_X_ETAG"] = seen
+    if token:
+        pairs["HTTP_X_TXN_KEY"] = token
     params = b"".join(
         bytes((len(name), len(value))) + name.encode() + value.encode() for name, value in pairs.items()
     )
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -20,7 +20,7 @@
 from stonecove.ground import log as ground_log
 from stonecove.ground.clock import Clock, CpuCredit
 from stonecove.ground.timers import Timers
-from stonecove.interface import Ended, Event, Get, Node, NodeState, Request
+from stonecove.interface import Effect, Ended, Event, Get, Node, NodeState, Request
 from stonecove.membership import MembersTold, PurgeTold, Told
 from stonecove.memory.budget import Budget
 from stonecove.stages.admit import MARGIN
@@ -559,8 +559,9 @@
             )
         body = b"b" * 8 if CLASSES[cls].never_kept else b""
         seen = "aa11" if self.scope.seen and not CLASSES[cls].never_kept else ""
+        token = "k1" if CLASSES[cls].effect is Effect.KEYED else ""
         self.session.feed(
-            request_bytes(int(place) + 1, cls, txn, f"{self.items[cls]:016x}", TTL, seen, body)
+            request_bytes(int(place) + 1, cls, txn, f"{self.items[cls]:016x}", TTL, seen, body, token)
         )
 
     def _do_abort(self, place: str) -> None:
--- a/stonecove/interface.py
+++ b/stonecove/interface.py
@@ -243,6 +243,7 @@
     keep: int
     age: float
     how: int
+    begin_by: float = float("inf")  # not to be begun from then on: a repeat would be none any more
 
 
 class Cancel(NamedTuple):
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -192,13 +192,14 @@
     def may_go(self, attempt: Attempt) -> bool:
         """Whether the attempt may still go; if not, it ends as never sent.
 
-        Guards against drains, ends and purges that were told after the order, and against work for a client
-        that has left or has its answer, also where the settings allow no cancelling.
+        Guards against drains, ends and purges that were told after the order, a window that has passed, and
+        work for a client that has left or has its answer, also where the settings allow no cancelling.
         """
         order: Get = attempt.order
         if attempt.ended:
             return False
-        if attempt.request.answered or attempt.outdated or not self._nodes.ready(order.node) or (
+        over = attempt.request.answered or attempt.outdated or self._clock.now() >= order.begin_by
+        if over or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
             return False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import signal
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from stand import SETTINGS, Client, Hanging, Stand, record
+from stand import PATIENCE, SETTINGS, Client, Hanging, Stand, record
 
 TIME_WAIT = "06"
 
@@ -65,3 +67,27 @@
     asked = hanging.open().recv(1000)
     assert b"00000000000000bb" in asked and b"00000000000000aa" not in asked
     hanging.close()
+
+
+def test_a_waiting_repeat_is_not_sent_after_its_window(start: Callable[..., Stand]) -> None:
+    window = 700.0
+    classes = [{**cls, "effect": "token", "group": "all", "window": window} for cls in SETTINGS["classes"]]
+    stand = start(classes=classes, limits=limits(connect_timeout=28_000.0, conn_idle=600_000.0))
+    client, probe = stand.client(), stand.client()
+    client.send(X_TXN_KEY="k1", X_TTL_MS="30000")
+    first = stand.command()
+    sent = time.monotonic()
+    hanging, other = Hanging(), next(cache for cache in stand.caches if cache is not first.cache)
+    stand.log.tell(2, 2, stand.record(other, 0, port=hanging.port))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "the change")
+    first.reply("500")
+    settle(probe)
+    assert connections_to(hanging) == 1  # the repeat was ordered within its window
+    while time.monotonic() < sent + window / 1000.0:
+        time.sleep(0.05)
+    sock = hanging.open()
+    assert client.answer().status == 503
+    sock.settimeout(PATIENCE)
+    stand.process.send_signal(signal.SIGTERM)
+    assert sock.recv(1000) == b""  # not a byte went out until the router ended
+    hanging.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from conftest import CACHES, ORIGIN, PARENTS, World, gets, make_class, make_nodes, make_settings
 
@@ -94,6 +96,14 @@
     assert not gets(actions) and isinstance(actions[-1], Refuse)
 
 
+def test_a_keyed_repeat_is_to_begin_within_its_window() -> None:
+    world = World(make_settings(make_class(effect=Effect.KEYED, window=300.0)))
+    (first,) = gets(world.ask())
+    assert first.begin_by == math.inf
+    (second,) = gets(world.end(first, Outcome.ERROR, wait=100.0))
+    assert second.begin_by == world.now - 100.0 + 300.0
+
+
 def test_keyed_work_stays_within_its_cell() -> None:
     world = keyed(group=KeyGroup.CELL)
     get = gets(world.ask())[0]
