Keep the window of a keyed class in one place

The planted fault 'alarm-not-taken-off' now shows as ends-once ('attempt 0 of image ends again as MOOT') and no longer as cancelled: since such an attempt is held back at its last look instead of going out.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -638,7 +638,7 @@
         first = held.first_run()
         if held.cls.effect is Effect.SAFE or first is None:
             return True
-        if held.cls.effect is Effect.UNSAFE or now - first.sent >= held.cls.window:
+        if held.cls.effect is Effect.UNSAFE or now >= held.begin_by():
             return False
         other = self._listed.get(first.node)
         if held.cls.group is KeyGroup.ALL:
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -229,7 +229,7 @@
         "attempt.alarm.off()",
         "attempt.ended = False",
         ("hedge", "deadline"),
-        "cancelled",
+        "ends-once",
     ),
     Seed(
         "closed-too-late",
@@ -350,10 +350,10 @@
     ),
     Seed(
         "window-forgotten",
-        choice.Director,
-        "_may_repeat",
-        "now - first.sent >= held.cls.window",
-        "False",
+        choice.Held,
+        "begin_by",
+        "first.sent + self.cls.window",
+        "math.inf",
         ("keyed",),
         "no-repeat",
     ),
