Watch clients until they are gone, and end connections by a half-close

Session._leave stopped reading at once: a client that closed or aborted what was open on a connection being left was not noticed, so further attempts could begin for it until its deadline. It is read on now, up to the linger's megabyte; what it asks behind that is refused. 2. At the stop all sockets were closed at once by cancelling the nursery, idle ones over bytes on their way (a reset), half-sent requests too: _idle looked only at what was whole. Resting connections are now half-closed once the grace is over, read out, and the rest is waited for; bytes behind the half-close are not taken. 3. A connection counted only from its task's first turn: accepted in the last moment it was unseen by the drain, and the places were overdrawn by one. Server._take counts it at once, and what came up until the listener closes is accepted, beyond the places too. 4. _make_room and the idle limit closed connections over a request just written. They look for unread bytes and half-close first; a place is freed 60 ms later at the latest. 5. /status/live answered 200 during the drain; now 503. 6. A request that was never sent and met the backstop was answered failed; now refused. 7. After bytes that are no FastCGI the socket was closed over unread ones; now half-closed as well, and what was open is given up before the linger, not after it. Lines at fault: wire/session.py _leave, wire/client.py run, lifecycle/serve.py _drain, _idle, _make_room, _serve; stages/route.py _backstop. Ruled out: expire() while attempts are ordered (Route._get ends them as moot, the explorer's scopes stop and stopped play it); a close between a request and its ABORT in one read (both are worked off in order, and Route.decide skips what is answered).

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import gc
 import heapq
@@ -45,6 +46,7 @@
 MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
 IDLE_FOR = 60.0  # ms for which an idle client keeps its place while others wait: it may be asking just now
 PLACES_PART = 0.125  # part of all places that are made at once: looking through all clients costs
+USUAL_ENDS = ("closed by the client", "closed by us", "stopping", "room for others", "idle for long")
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -158,26 +160,32 @@
 
     async def _drain(self, listener: socket.socket) -> None:
         """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
-        start = trio.current_time()
+        end = trio.current_time() + self._last_answer
+        self._front.ready = False
         self._route.admit.latest = self._clock.now() + self._last_answer * 1000.0
         await trio.sleep(min(GRACE, self._last_answer))
         # Guards against requests that are lost with their connections, as those wait to be accepted.
-        while trio.current_time() < start + self._last_answer and select.select([listener], [], [], 0)[0]:
+        while trio.current_time() < end and select.select([listener], [], [], 0)[0]:
             await trio.sleep(0.01)
         self._accepting.cancel()  # the task is ended before the socket is, which it may be about to wait for
         await trio.lowlevel.checkpoint()
+        with contextlib.suppress(OSError):  # what came up since, until there is none, beyond the places too
+            while True:
+                self._take(listener)
         listener.close()
-        while trio.current_time() < start + self._last_answer and not self._idle():
+        while trio.current_time() < end and not self._over():
             await trio.sleep(0.01)
         self._route.expire()
         with trio.move_on_after(LAST_WRITE):
-            while not self._idle():
+            while not self._over():
                 await trio.sleep(0.01)
         log("stopped", open=len(self._route.requests))
 
-    def _idle(self) -> bool:
-        return not any(not request.answered for request in self._route.requests) and all(
-            client.quiet() for client in self._clients)
+    def _over(self) -> bool:
+        """Whether nobody is left; clients that rest are told to go, with a half-close."""
+        for client in list(self._clients):
+            client.retire("stopping")
+        return not self._clients and all(request.answered for request in self._route.requests)
 
     async def _stats(self) -> None:
         while True:
@@ -191,7 +199,7 @@
             limit = self._clock.now() - CLIENT_IDLE
             for client in list(self._clients):
                 if client.idle() and client.last_used <= limit:
-                    client.close()
+                    client.retire("idle for long")
 
     async def _check(self) -> None:
         """Looks at what clients are sending, now and then."""
@@ -203,18 +211,24 @@
                     client.check(self._clock.now())
 
     def _make_room(self) -> bool:
-        """Closes clients that say nothing, else those idle for longest; says whether there were any.
+        """Ends clients that say nothing, else those idle for longest; says whether there were any.
 
         Guards against connections that are merely held keeping out those that ask, as when each client asks
-        once and stays.
+        once and stays; and, by a half-close first, against a reset of one that is asking just now.
         """
         now = self._clock.now()
+        going = [client for client in self._clients if client.leaving() and client.quiet()]
+        closed = [client for client in going if client.last_used <= now - IDLE_FOR]
+        for client in closed:
+            client.close()  # it has seen the half-close by now
+        if going:
+            return bool(closed)
         mute = [client for client in self._clients if client.mute and client.last_used <= now - MUTE_FOR]
         idle = mute or [client for client in self._clients
                         if client.idle() and client.last_used <= now - IDLE_FOR]
         places = round(self._most_clients * PLACES_PART)
         for client in heapq.nsmallest(places, idle, key=lambda client: client.last_used):
-            client.close()
+            client.retire("room for others")
         return bool(idle)
 
     async def _accept(self, listener: socket.socket) -> None:
@@ -228,7 +242,7 @@
                 continue
             try:
                 await trio.lowlevel.wait_readable(listener)
-                sock, _ = listener.accept()
+                self._take(listener)
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -237,19 +251,22 @@
                     log_some("no-descriptors", clients=len(self._clients), links=self._route.send.links())
                     self._make_room()
                     await trio.sleep(0.05)
-                continue
-            self._spawn(partial(self._serve, sock))
 
-    async def _serve(self, sock: socket.socket) -> None:
+    def _take(self, listener: socket.socket) -> None:
+        """Accepts a connection; it counts from now on, not from when its task first runs."""
+        sock, _ = listener.accept()
+        sock.setblocking(False)
+        client = Client(sock, self._front, self._clock.now, self._budget)
+        self._clients.add(client)
+        self._spawn(partial(self._serve, sock, client))
+
+    async def _serve(self, sock: socket.socket, client: Client) -> None:
         """One client connection."""
         with sock:
-            sock.setblocking(False)
-            client = Client(sock, self._front, self._clock.now, self._budget)
-            self._clients.add(client)
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 why = await client.run()
-                if why not in ("closed by the client", "closed by us"):
+                if why not in USUAL_ENDS:
                     log_some("client-lost", why=why)
             finally:
                 self._clients.discard(client)
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -198,7 +198,8 @@
         """Guards against a request that nobody answers."""
         if not request.answered:
             log("backstop", req=request.asked.txn)
-            self.relay.answer(request, Answer(Verdict.FAILED))
+            never_sent = Answer(Verdict.REFUSED, pause=self.admit.pause())
+            self.relay.answer(request, Answer(Verdict.FAILED) if request.attempts else never_sent)
             self.post(Left(request.req))
         for attempt in request.attempts:
             if not attempt.ended:
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -43,13 +43,16 @@
         self._reading.cancel()
 
     def _stop_writing(self) -> None:
+        """Half-closes at once: what the client sends from now on, it knows not to be taken."""
         self._writing.cancel()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
 
     async def run(self) -> str:
         """Serves until either side ends it; returns why. No error of the peer's leaves here."""
         why = "closed by us"
-        try:
-            with self._scope:
+        with self._scope:
+            try:
                 async with trio.open_nursery() as self._nursery:
                     with self._reading:
                         why = await self._read()
@@ -57,18 +60,19 @@
                     if self._leaving:
                         why = self._leaving
                         self._start_writing()
-                if self._leaving or not self._decoder.keep:
-                    await self._linger()
-        finally:
-            self._wrote = True  # it is too late to start it
-            self.ended()
+            finally:
+                self._wrote = True  # it is too late to start it
+                self.ended()
+            if self._leaving or not self._decoder.keep:
+                await self._linger()
         return "the client takes in nothing" if self._broken else why
 
     async def _linger(self) -> None:
         """Guards against an answer lost to a reset, as when a socket is closed with bytes unread."""
         scratch, left = bytearray(GULP), LINGER[1]
-        with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
+        with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(LINGER[0]), contextlib.suppress(OSError):
             while left > 0:
                 await trio.lowlevel.wait_readable(self._sock)
                 if not (count := self._sock.recv_into(scratch)):
@@ -76,10 +80,12 @@
                 left -= count
 
     async def _read(self) -> str:
-        buffer = self._buffer
+        buffer, left = self._buffer, LINGER[1]
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._sock)
+                if self._reading.cancel_called:
+                    continue  # what came behind the half-close is not taken
                 with buffer.room() as view:
                     try:
                         count = self._sock.recv_into(view)
@@ -91,7 +97,13 @@
                 self.received()
                 if self._leaving:
                     await trio.lowlevel.checkpoint()
-            except (OSError, BufferFullError, FastCgiError) as error:
+                    left -= count
+                    if left <= 0:
+                        return self._leaving
+            except (BufferFullError, FastCgiError) as error:
+                self._leaving = self._leaving or str(error)
+                return self._leaving
+            except OSError as error:
                 return str(error) or type(error).__name__
 
     def _start_writing(self) -> None:
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -13,7 +14,8 @@
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import Buffer
 from stonecove.wire.channel import Socket
-from stonecove.wire.fastcgi import (COMPLETE, Aborted, Arrived, Decoder, answer_records, end_record)
+from stonecove.wire.fastcgi import (COMPLETE, OVERLOADED, Aborted, Arrived, Decoder, answer_records,
+                                    end_record)
 
 MOST_UNREAD = 2 * (65_536 + 256 + 8)
 MOST_OWED = 1000  # protocol records that wait to be written
@@ -79,7 +81,9 @@
         now = self.last_used = self._clock()
         held = len(self._buffer)
         for event in self._decoder.events(self._buffer):
-            if isinstance(event, Arrived):
+            if isinstance(event, Arrived) and self._leaving:
+                self._turn_away(event.ident)
+            elif isinstance(event, Arrived):
                 self._request(event)
             elif isinstance(event, Aborted):
                 self._handler.aborted(self, event.ident)
@@ -120,17 +124,41 @@
 
         Guards against clients that connect and say nothing, or begin and never end.
         """
-        if self._partial_since and self._partial_since < now - TAKE_IN:
+        if self._partial_since and self._partial_since < now - TAKE_IN and not (self.mute and self._unread()):
             self._leave("says nothing" if self.mute else "a record is not whole in time")
         for event in self._decoder.overdue(now - TAKE_IN):
             self._handler.request(self, *event)
 
     def _leave(self, why: str) -> None:
-        """Takes in nothing more, and ends the connection once all that is open on it is answered."""
-        self._leaving = self._leaving or why
-        self._stop_reading()
+        """Takes no more requests, and ends the connection once all that is open on it is answered.
+
+        Until then it is read: a client that closes, or aborts what is open, wants no further attempts.
+        """
+        if not self._leaving:
+            self._leaving, self.last_used = why, self._clock()
         self._pump()
 
+    def leaving(self) -> bool:
+        """Whether the connection is being ended."""
+        return bool(self._leaving)
+
+    def retire(self, why: str) -> None:
+        """Ends a connection that rests, unless a request is there already that has not been read."""
+        if not self._leaving and (self.idle() or self.mute) and not self._unread():
+            self._leave(why)
+
+    def _unread(self) -> bool:
+        """Whether bytes wait to be read."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def _turn_away(self, ident: int) -> None:
+        """Refuses a request that comes while the connection is being ended."""
+        self._decoder.open.discard(ident)
+        self._owe(end_record(ident, OVERLOADED))
+
     def answer(self, ident: int, head: bytes, body: bytes) -> None:
         """Queues the whole answer to a request."""
         records = answer_records(ident, head, body)
