Take a class whose effect is not told as unsafe to repeat

settings._class took a missing effect for 'pure' and a missing group for 'all': a guard that fails open. Now unsafe and cell, as for words that are not known. Line at fault: settings.py _class. Test: four combinations, two of which fail without the mend.

--- a/stonecove/settings.py
+++ b/stonecove/settings.py
@@ -33,8 +33,9 @@
         aim=float(entry.get("on_time", deadline)),
         aim_stretch=float(entry.get("aim_stretch", 0.0)),
         deadline=deadline,
-        effect=_EFFECTS.get(entry.get("effect", "pure"), i.Effect.UNSAFE),
-        group=_GROUPS.get(entry.get("group", "all"), i.KeyGroup.CELL),
+        # Guards against harm by what is not told or not known: then nothing is repeated that may have run.
+        effect=_EFFECTS.get(entry.get("effect", ""), i.Effect.UNSAFE),
+        group=_GROUPS.get(entry.get("group", ""), i.KeyGroup.CELL),
         window=float(entry.get("window", 0.0)),
         fresh=float(_at(domain.get("lifetime_by_class", []), place, 0.0)),
         stale=float(_at(domain.get("stale_for", []), place, 0.0)),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,7 @@
 
 from stonecove.interface import (Due, Effect, Fail, KeyGroup, Left, Listed, ListKind, NodeState, Note,
                                  Outcome, Purged, Refuse)
+from stonecove.settings import settings_from
 
 FINAL = (Refuse, Fail)
 
@@ -96,6 +97,17 @@
     assert not gets(actions) and isinstance(actions[-1], Refuse)
 
 
+@pytest.mark.parametrize("effect, group, taken", [
+    (None, None, (Effect.UNSAFE, KeyGroup.CELL)), ("who-knows", "continent", (Effect.UNSAFE, KeyGroup.CELL)),
+    ("token", None, (Effect.KEYED, KeyGroup.CELL)), ("pure", "all", (Effect.SAFE, KeyGroup.ALL))])
+def test_what_the_settings_do_not_tell_of_a_class_is_taken_as_unsafe(
+        effect: str | None, group: str | None, taken: tuple[Effect, KeyGroup]) -> None:
+    entry = {"deadline": 900.0, "effect": effect, "group": group}
+    told = {name: value for name, value in entry.items() if value is not None}
+    (cls,) = settings_from({"zone": 0, "classes": [told]}).classes
+    assert (cls.effect, cls.group) == taken
+
+
 def test_a_keyed_repeat_is_to_begin_within_its_window() -> None:
     world = World(make_settings(make_class(effect=Effect.KEYED, window=300.0)))
     (first,) = gets(world.ask())
