Refuse a reload with another router's configuration whole

Seen (reading, then a test): Server._reload only logged that name, listen or settings differ ('waits_for_restart=name,listen') and still took over the file's limits and change log: the router then followed a list of caches that are not its own. Line at fault: lifecycle/serve.py _reload. A file counts as another's by name, listening address, zone, zones, kinds, or classes (names, effects); other figures wait for a restart as before. Test: four such files leave list, limits and log address as they were and one line in the log; fails without the mend.

--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -39,6 +39,12 @@
     known: tuple[Told, ...]
     settings: Settings
 
+    def identity(self) -> dict[str, object]:
+        """By what one router's configuration is told from another's; its figures may change."""
+        settings = self.settings
+        return {"name": self.name, "listen": self.listen, "zone": settings.zone, "areas": settings.zones,
+                "models": settings.kinds, "classes": [(cls.name, cls.effect) for cls in settings.classes]}
+
 
 def _address(text: Any) -> tuple[str, int]:
     host, sign, port = str(text).rpartition(":")
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -136,15 +136,19 @@
     def _reload(self) -> None:
         """Takes over from a new configuration what can change while requests go on.
 
-        The whole file is checked first: guards against half a new configuration, and against ending over a
-        bad one.
+        The whole file is checked first: guards against half a new configuration, against ending over a bad
+        one, and against another router's, whose change log tells of caches that are not ours.
         """
         try:
             config = read_config()
         except ConfigError as error:
             log("reload-refused", why=str(error))
             return
-        fixed = [name for name in ("name", "listen", "pace", "settings")
+        ours, theirs = self._config.identity(), config.identity()
+        if foreign := [part for part in ours if ours[part] != theirs[part]]:
+            log("reload-refused", why=f"the file is another router's, by its {', '.join(foreign)}")
+            return
+        fixed = [name for name in ("pace", "settings")
                  if getattr(config, name) != getattr(self._config, name)]
         log("reloaded", changelog=":".join(map(str, config.changelog)), sockets=config.sockets,
             memory_mb=config.memory_mb, cores=config.cores, waits_for_restart=",".join(fixed) or "nothing")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -791,6 +791,25 @@
     assert len(stand.lines("reload-refused")) == 1
 
 
+@pytest.mark.parametrize("change, part", [
+    ({"name": "n9"}, "name"), ({"listen": "127.0.0.1:1"}, "listen"),
+    ({"settings": {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "name": "reel"}]}}, "classes"),
+    ({"settings": {**SETTINGS, "zone": 0}}, "zone")])
+def test_another_routers_file_is_refused_whole(stand: Stand, change: dict[str, Any], part: str) -> None:
+    """Neither its limits nor its change log may turn up here."""
+    assert stand.log.since.get(timeout=PATIENCE) == 1
+    new, limits = ChangeLog(), {**stand.config["limits"], "memory_mb": 0.001}
+    stand.reload(json.dumps({**stand.config, "limits": limits, "changelog": f"127.0.0.1:{new.listener.port}",
+                             **change}))
+    stand.wait(lambda: stand.lines("reload-refused"), "a line of the log")
+    assert f"by its {part}" in stand.lines("reload-refused")[0] and not stand.lines("reloaded")
+    stand.log.tell(2, 2, stand.record(stand.caches[0], 1))
+    stand.wait(lambda: len(stand.lines("node")) == 5, "an event by the old address")
+    ask_many(stand, stand.client(), 2)
+    assert new.since.empty()
+    new.listener.close()
+
+
 def test_a_new_limit_holds_at_once(stand: Stand) -> None:
     limits = {"limits": {**stand.config["limits"], "memory_mb": 0.001}}
     stand.reload(json.dumps({**stand.config, **limits}))
