Spread the change log's back-off, so that a fleet does not come back in step

Seen (reading): ChangeLog._keep waited 0.05, 0.1, 0.2, 0.4, 0.4 s at every router, so a fleet whose log broke at one moment called for it in step; STANDING prices calls for lists over the whole fleet. Each wait is now drawn from half of it to the whole (JITTER, the usual equal jitter), by the router's own seed; none gets longer, so news is not told later. Line at fault: wire/follow.py _keep.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -67,7 +67,7 @@
                             config.pace, self._connect, self._wake_decide)
         self._limit(config)
         self._front = Front(config.settings, self._route)
-        self._changelog = ChangeLog(*config.changelog, config.last)
+        self._changelog = ChangeLog(*config.changelog, config.last, config.seed)
         longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
         self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
 
--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import trio
 
 from stonecove.ground.log import log
@@ -11,15 +13,17 @@
 
 # What the log tells counts as told 2 s after a break and 4 s after it stops: all waits must fit into that.
 QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
-BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second
+BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second,
+JITTER = 0.5  # less up to this part of them: a fleet that lost its log at once does not come back in step
 CONNECT_WAIT = 0.8
 
 
 class ChangeLog:
     """Follows the change log for good: resumes after the last number, however often it breaks."""
 
-    def __init__(self, host: str, port: int, last: int) -> None:
+    def __init__(self, host: str, port: int, last: int, seed: int) -> None:
         self._address = (host, port)
+        self._random = random.Random(seed)
         self._follower = Follower(last)
         self._scope = trio.CancelScope()
 
@@ -54,7 +58,7 @@
                 why = "an event can't be worked off"
             log("changelog-lost", last=self._follower.last, why=why)
             wait = BACK_OFF[0] if self._follower.last != before else min(2 * wait, BACK_OFF[1])
-            await trio.sleep(wait)
+            await trio.sleep(wait * self._random.uniform(1.0 - JITTER, 1.0))
 
     async def _follow(self, sink: MembershipSink) -> str:
         with trio.socket.socket() as sock:
