Call a client's copy current only if the cache names it

Seen (reading): Relay._wrong let a 304 without a tag pass for the client's copy (fields.get('ver', asked.seen)); for classes that are kept Relay.spoilt catches it, for writes it did not. Test: a 304 without fields to a write with a tag; answered as current without the mend.

--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -93,7 +93,7 @@
         """What is wrong with an answer that says ok. Guards against passing on a copy that won't do."""
         asked = attempt.request.asked
         cls = self._settings.classes[asked.kind]
-        if reply.word == "304" and (not asked.seen or reply.fields.get("ver", asked.seen) != asked.seen):
+        if reply.word == "304" and (not asked.seen or reply.fields.get("ver") != asked.seen):
             return "unchanged, but not the client's copy"
         if reply.word == "304" and reply.body:
             return "unchanged, but with bytes"
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -333,6 +333,14 @@
     assert client.answer().body == b"good" and len(stand.lines("bad-copy")) == 1
 
 
+def test_a_copy_is_called_current_only_if_the_cache_names_it(stand: Stand) -> None:
+    client = stand.client()
+    client.send(X_ETAG="4be0", **WRITE)
+    fetch = stand.command()
+    fetch.sock.sendall(resp(fetch.txn.encode(), b"304", b"-", b""))
+    assert client.answer().status == FINAL_FAILED
+
+
 def test_the_clients_copy_that_holds(stand: Stand) -> None:
     client = stand.client()
     client.send(X_ETAG="4be0")
