Keep signals that come during the start until all is up

Seen (reading, then forced): between the exec and open_signal_receiver SIGTERM and SIGHUP had their default effect; the listener was up for a part of that time. They are blocked from the first line of main() and let through once the receiver is there. Line at fault: lifecycle/serve.py main. Test: the configuration is a pipe, so the router stands in the middle of its start while the signal is sent; killed by it without the mend.

--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -46,6 +46,7 @@
 MUTE_FOR = 100.0  # ms for which a new client may say nothing while others wait for its place
 IDLE_FOR = 60.0  # ms for which an idle client keeps its place while others wait: it may be asking just now
 PLACES_PART = 0.125  # part of all places that are made at once: looking through all clients costs
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 USUAL_ENDS = ("closed by the client", "closed by us", "stopping", "room for others", "idle for long")
 _NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -115,7 +116,8 @@
         """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP."""
         for event in self._config.known:
             self._route.told(event)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        with trio.open_signal_receiver(*SIGNALS) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came during the start come now
             for task in (self._run_timers, self._decide, self._stats, self._check):
                 self._nursery.start_soon(task)
             self._nursery.start_soon(self._changelog.run, self._route)
@@ -312,6 +314,7 @@
 
 def main() -> int:
     """Entry point of the edge router."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # guards against their default effect until all is up
     try:
         config = read_config()
     except ConfigError as error:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import os
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -14,11 +18,14 @@
 import trio
 import trio.testing
 from stonecove.ground.clock import Clock
+from stonecove.ground.log import divert
 from stonecove.memory.budget import Budget
+from stonecove.stages.route import Route
 from stonecove.wire.client import Connection
+from stonecove.wire.follow import ChangeLog
 from stonecove.wire.session import MOST_TURNED_AWAY, Session
 
-from stand import PATIENCE, SETTINGS, Client, Hanging, Stand, record
+from stand import PATIENCE, SETTINGS, Client, Hanging, Stand, free_address, record
 
 TIME_WAIT = "06"
 
@@ -147,6 +154,36 @@
     trio.run(cross)
 
 
+# -- discovery --
+
+
+def test_a_fleet_that_lost_its_change_log_does_not_come_back_in_step() -> None:
+    def lost_at(seed: int) -> list[float]:
+        """When a router of that seed finds out again and again that nobody is there."""
+        times: list[float] = []
+
+        async def follow() -> None:
+            with trio.CancelScope() as scope:
+                def note(event: str, fields: dict[str, object]) -> None:
+                    times.append(trio.current_time())
+                    if len(times) == 6:
+                        scope.cancel()
+
+                divert(note)
+                await ChangeLog(*free_address(), 0, seed).run(Route.__new__(Route))
+
+        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0))
+        divert(None)
+        return times
+
+    first, second = lost_at(1), lost_at(2)
+    for times in (first, second):
+        gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+        for gap, most in zip(gaps, (0.1, 0.2, 0.4, 0.4, 0.4), strict=True):
+            assert 0.5 * most <= gap <= most + 0.001
+    assert all(abs(one - other) > 1e-6 for one, other in zip(first[1:], second[1:], strict=True))
+
+
 # -- shutdown --
 
 
@@ -192,6 +229,27 @@
     assert stand.process.wait(PATIENCE) == 0
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_during_the_start_is_kept_until_all_is_up(start: Callable[..., Stand], tmp_path: Path,
+                                                          number: signal.Signals) -> None:
+    stand = start()
+    stand.process.kill()
+    stand.process.wait(PATIENCE)
+    path, whole = tmp_path / "config.json", tmp_path / "whole.json"
+    whole.write_text(json.dumps(stand.config))
+    os.mkfifo(path)
+    with Path(stand.folder.name, "log").open("wb") as output:
+        stand.process = subprocess.Popen([sys.executable, "-m", "stonecove"], stderr=output,
+                                         env={**os.environ, "RELAY_CONFIG": str(path)})
+    with path.open("w") as pipe:  # opens once the router reads it, and so has begun to start
+        whole.rename(path)
+        stand.process.send_signal(number)
+        pipe.write(json.dumps(stand.config))
+    word = "reloaded" if number == signal.SIGHUP else "stopped"
+    stand.wait(lambda: stand.lines(word) or stand.process.poll() is not None, "what the signal asks for")
+    assert stand.lines("ready") and stand.lines(word)
+
+
 def test_a_router_that_stops_does_not_call_itself_live(start: Callable[..., Stand]) -> None:
     stand = start()
     client, busy = stand.client(), stand.client()
