--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -198,7 +198,8 @@
         order: Get = attempt.order
         if attempt.ended:
             return False
-        over = attempt.request.answered or attempt.outdated or self._clock.now() >= order.begin_by
+        request = attempt.request
+        over = request.answered or request.expired or attempt.outdated or self._clock.now() >= order.begin_by
         if over or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
