--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -208,8 +208,7 @@
     def expire(self) -> None:
         """The router is about to stop: the time of all that is open is over, and the module is told so."""
         for request in self.requests:
-            request.expired = True  # all of them first: giving one attempt up may let another's turn come
-        for request in self.requests:
+            request.expired = True
             for attempt in list(request.attempts):
                 if not attempt.ended:
                     self.send.late(attempt)
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -198,8 +198,7 @@
         order: Get = attempt.order
         if attempt.ended:
             return False
-        request = attempt.request
-        over = request.answered or request.expired or attempt.outdated or self._clock.now() >= order.begin_by
+        over = attempt.request.answered or attempt.outdated or self._clock.now() >= order.begin_by
         if over or not self._nodes.ready(order.node) or (
                 order.source != order.node and not self._nodes.ready(order.source)):
             self._finish(attempt, Outcome.MOOT)
