Clear the blame of a cache that started anew, also when a whole list tells it

Seen (reading, then a test): Director._on_list emptied its table before it compared starts, so a node of a whole list never had a known start before, and an ejected cache or source that had been started anew stayed ejected for its pause. Line at fault: choice.py _on_list. Test: the same start told as a change and as a whole list; the second fails without the mend.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -461,12 +461,13 @@
     def _on_list(self, now: float, event: Listed) -> None:
         if event.form is ListKind.FAILED:
             return
+        before = self._listed
         if event.form is not ListKind.DELTA:
             self._listed = {}
             if event.form is ListKind.CACHED and self._set.list_by_asking:
                 self._out.append(Watch())
         for node in event.nodes:
-            known = self._listed.get(node.node)
+            known = before.get(node.node)
             if known is not None and node.started != known.started:
                 self._cache_health.pop(node.node, None)
                 self._source_health.pop(node.node, None)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -146,6 +146,16 @@
     assert gets(world.ask())[0].node == get.node
 
 
+@pytest.mark.parametrize("form", [ListKind.DELTA, ListKind.FULL])
+def test_a_cache_that_started_anew_is_not_blamed_for_what_ran_before(world: World, form: ListKind) -> None:
+    (get,) = gets(world.ask())
+    world.end(get, Outcome.CONNECT_FAILED)
+    assert not world.director._cache_health[get.node].usable(world.now)
+    nodes = [n._replace(started=world.now) if n.node == get.node else n for n in world.nodes]
+    world.give(Listed(form, tuple(nodes)))
+    assert world.director._cache_health[get.node].usable(world.now)
+
+
 def test_a_silent_cache_is_noticed_within_a_few_attempts(world: World) -> None:
     silent = gets(world.ask())[0]
     asked = [silent, *(gets(world.ask())[0] for _ in range(2))]
