Measure spans on the monotonic clock and translate told Unix times by evidence

Cause: ground/clock.py read the wall clock for every span, and Route.told, Relay._wrong, ColdBudget and Send.started compared told Unix times with it. A step of the wall clock refused every request of a class with a fresh time, took new purges for long over, cold caches for warm, and broke every decision after a step back of an hour.

Change: Clock runs with the monotonic clock. PeerTime translates told Unix times; it starts from the wall clock of the start and is corrected by copies that the origin gave out for our own attempts and by news from the future. A purge is guarded against for its whole time from when it was told, whatever its age seems; the age of a copy is compared with the purges by the Unix times that both carry (ToldPurges), which needs no clock of ours. The start of a cache is translated once, when it is first heard of.

The explorer's planted faults 'purge-not-marked' and a new one for the new guard are planted together, as each guard alone now holds the rule; 'purges-forgotten' moved to where both guards are fed, and the old place became 'purge-limit-gone'.

--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -49,6 +49,7 @@
 HEADROOM = 0.6  # part of a cold node's budget that is used: sizes are rough and directors uneven
 PURGE_MARGIN = 1.5  # old copies are guarded against for this multiple of the time they may last
 TICK = 0.001  # the least age: an age of 0 would mean the default
+NEVER = (-math.inf, -math.inf)
 
 _MASK = (1 << 64) - 1
 _RAN_NOT = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
@@ -280,22 +281,25 @@
 
     def __init__(self, lasts: float) -> None:
         self._lasts = lasts
-        self._moments: dict[tuple[int, int], float] = {}
+        self._moments: dict[tuple[int, int], tuple[float, float]] = {}  # of the purge, and when it was told
         self._next_sweep = -math.inf
 
     def told(self, now: float, event: Purged) -> None:
-        """Notes a purge of an object (group -1) or, with no object, of a group."""
+        """Notes a purge of an object (group -1) or, with no object, of a group.
+
+        Danger: an age by a clock that is wrong. One beyond what a purge lasts counts as none at all.
+        """
         name = (event.key, -1) if event.key else (0, event.group)
-        self._moments[name] = max(now - event.age, self._moments.get(name, -math.inf))
+        age = event.age if event.age <= self._lasts else 0.0
+        self._moments[name] = max(now - age, self._moments.get(name, NEVER)[0]), now
         if now >= self._next_sweep:
             self._next_sweep = now + self._lasts
-            self._moments = {n: m for n, m in self._moments.items() if m + self._lasts > now}
+            self._moments = {n: m for n, m in self._moments.items() if m[1] + self._lasts > now}
 
     def limit(self, now: float, key: int, group: int) -> float:
         """The oldest copy that will do now; infinite where nothing was purged lately."""
-        moment = max(self._moments.get((key, -1), -math.inf), self._moments.get((0, group), -math.inf))
-        if now - moment >= self._lasts:
-            return math.inf
+        purges = (self._moments.get((key, -1), NEVER), self._moments.get((0, group), NEVER))
+        moment = max((moment for moment, told in purges if now - told < self._lasts), default=-math.inf)
         return max(now - moment - TICK, TICK)
 
 
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -20,7 +20,7 @@
 from stonecove.explore import peers
 from stonecove.ground.timers import Timers
 from stonecove.interface import Get, Node
-from stonecove.memory import budget, nodes, requests
+from stonecove.memory import budget, nodes, purges, requests
 from stonecove.stages import admit, relay, route, send
 from stonecove.stages.book import Book
 from stonecove.wire import channel, fastcgi, session
@@ -42,6 +42,8 @@
             "_clock": WIRING,
             "_timers": WIRING,
             "_director": WIRING,
+            "peer_time": "peers and router share one clock here, so it stays as it was set",
+            "purges": WIRING,
             "nodes": WIRING,
             "requests": WIRING,
             "admit": WIRING,
@@ -72,7 +74,17 @@
         "",
         {"_clock": WIRING, "_admit": WIRING, "_post": WIRING, "counts": SAID, "_waited": SAID},
     ),
-    relay.Relay: ("", {"_settings": FIXED, "_book": WIRING}),
+    relay.Relay: (
+        "",
+        {
+            "_settings": FIXED,
+            "_book": WIRING,
+            "_clock": WIRING,
+            "_peer_time": WIRING,
+            "_purges": WIRING,
+        },
+    ),
+    purges.ToldPurges: ("_told", {"_kept_for": FIXED, "_next_sweep": DERIVED}),
     send.Send: (
         "most_links _links _where",
         {
@@ -98,7 +110,7 @@
         "number order ordered_at written_at outdated ended moved alarm",
         {"request": WIRING},
     ),
-    nodes.NodeTable: ("_members", {}),
+    nodes.NodeTable: ("_members", {"_starts": "peers and router share one clock here"}),
     budget.Budget: ("most _used", {}),
     Timers: (
         "_heap",
@@ -253,6 +265,10 @@
         txns = tuple(
             sorted((txn, self.request_place(request.req)) for txn, request in route.requests._txns.items())
         )
+        told_purges = tuple(
+            (name, tuple((time(told), time(unix)) for told, unix in found))
+            for name, found in sorted(route.purges._told.items())
+        )
         undecided = tuple(
             (time(came), self.request_place(request.req)) for came, request in route._undecided
         )
@@ -269,6 +285,7 @@
             cpu,
             time(route.admit.latest),
             members,
+            told_purges,
             opened,
             txns,
             undecided,
@@ -426,7 +443,9 @@
             )
             for each in (d._cold_caches, d._cold_parents)
         )
-        purges = tuple((key, time(at)) for key, at in sorted(d._purges._moments.items()))
+        moments = tuple(
+            (key, time(at), time(told)) for key, (at, told) in sorted(d._purges._moments.items())
+        )
         held = tuple(sorted((self.request_place(req), *self.held(value)) for req, value in d._held.items()))
         loads = tuple((key, *self.load(value)) for key, value in sorted(d._loads.items()))
         copies = tuple((key, time(at)) for key, at in sorted(d._copies.items()))
@@ -436,7 +455,7 @@
             counted,
             health,
             cold,
-            purges,
+            moments,
             held,
             loads,
             _number(d._wait),
@@ -605,6 +624,7 @@
         route.send,
         route.requests,
         route.nodes,
+        route.purges,
         world.budget,
         world.timers,
         world.session,
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -173,7 +173,36 @@
         ("drain",),
         "gone-closed",
     ),
-    Seed("purge-not-marked", route.Route, "told", "attempt.outdated |=", "_ =", ("purge",), "no-purged"),
+    Seed(
+        "purge-not-marked",
+        route.Route,
+        "told",
+        "attempt.outdated |=",
+        "_ =",
+        ("purge",),
+        "no-purged",
+        also="older-copy-passed-on",
+    ),
+    Seed(
+        "older-copy-passed-on",
+        relay.Relay,
+        "_wrong",
+        "born < self._purges.newest(asked.key, asked.group, attempt.written_at)",
+        "False",
+        ("purge",),
+        "no-purged",
+        also="purge-not-marked",
+    ),
+    Seed(
+        "purge-limit-gone",
+        choice.Purges,
+        "limit",
+        "now - told < self._lasts",
+        "False",
+        ("purge",),
+        "no-purged",
+        also="older-copy-passed-on",
+    ),
     Seed(
         "backstop-not-set",
         route.Route,
@@ -422,10 +451,10 @@
     ),
     Seed(
         "purges-forgotten",
-        choice.Purges,
-        "limit",
-        "now - moment >= self._lasts",
-        "True",
+        route.Route,
+        "told",
+        "self._purged(event)",
+        "pass",
         ("purge",),
         "no-purged",
     ),
@@ -531,7 +560,7 @@
         return
     seed = by_name(name)
     if seed.also:
-        plant(seed.also)
+        _plant(by_name(seed.also))
     _plant(seed)
 
 
--- a/stonecove/explore/world.py
+++ b/stonecove/explore/world.py
@@ -94,7 +94,7 @@
         self.scope = scope
         self.t = START  # seconds
         self.faults = scope.faults
-        self.clock = Clock(self._seconds)
+        self.clock = Clock(self._seconds, self._seconds)
         self.timers = Timers(self.clock, self._seconds)
         self.budget = Budget()
         self.budget.most = MEMORY
--- a/stonecove/ground/clock.py
+++ b/stonecove/ground/clock.py
@@ -1,4 +1,4 @@
-"""The one clock, in Unix milliseconds, and what of our share of a core is left."""
+"""The one clock, in milliseconds of real time, and what of our share of a core is left."""
 
 from __future__ import annotations
 
@@ -7,25 +7,29 @@
 
 CPU_PART = 0.97  # part of our share that we use before we refuse
 CPU_SAVED = 0.1  # seconds of it that can be saved up
-LONGEST_SLIP = 2000.0  # ms by which the clock may be put back unnoticed
 
 
 class Clock:
-    """Unix milliseconds that don't go back, unless the system's clock is set back by a lot."""
+    """Milliseconds of real time, counted from the Unix time at the start of the router.
 
-    def __init__(self, wall: Callable[[], float] = time.time) -> None:
-        """`wall` tells Unix seconds, and may be set at any time."""
+    It runs with the monotonic clock, so a step of the system's wall clock changes no span. What others tell
+    as a Unix time is translated by `PeerTime`.
+    """
+
+    def __init__(self, steady: Callable[[], float] = time.monotonic,
+                 wall: Callable[[], float] = time.time) -> None:
+        """`steady` tells seconds that nobody sets, `wall` Unix seconds."""
+        self._steady = steady
         self._wall = wall
-        self._last = 0.0
+        self._start = (wall() - steady()) * 1000.0
 
     def now(self) -> float:
-        """The present moment."""
-        wall = self._wall() * 1000.0
-        # Guards against purges that seem old after a clock that ran ahead was put right.
-        if wall < self._last - LONGEST_SLIP:
-            self._last = wall
-        self._last = max(self._last, wall)
-        return self._last
+        """The present moment, in milliseconds; it never goes back."""
+        return self._steady() * 1000.0 + self._start
+
+    def wall_offset(self) -> float:
+        """By how many milliseconds the system's wall clock is ahead of this one now."""
+        return self._wall() * 1000.0 - self.now()
 
 
 class CpuCredit:
--- a/stonecove/ground/timers.py
+++ b/stonecove/ground/timers.py
@@ -28,7 +28,7 @@
 
 
 class Timers:
-    """All alarms, in the order of their times; once set, they don't mind if the system's clock is set."""
+    """All alarms, in the order of their times; they run with real time, whatever the wall clock does."""
 
     def __init__(self, clock: Clock, steady: Callable[[], float],
                  wake: Callable[[], None] = nobody) -> None:
--- a/stonecove/memory/nodes.py
+++ b/stonecove/memory/nodes.py
@@ -11,6 +11,7 @@
 
     def __init__(self) -> None:
         self._members: dict[NodeId, Member] = {}
+        self._starts: dict[NodeId, tuple[float, float]] = {}  # told Unix ms, and the same by our clock
 
     def __len__(self) -> int:
         return len(self._members)
@@ -25,6 +26,17 @@
             else:
                 self._members[member.node.node] = member
 
+        self._starts = {node: start for node, start in self._starts.items() if node in self._members}
+
+    def local_start(self, node: NodeId, unix: float) -> float | None:
+        """The moment (ms of our clock) noted for that start of the node; None if there is none."""
+        told, local = self._starts.get(node, (0.0, 0.0))
+        return local if told == unix else None
+
+    def note_start(self, node: NodeId, unix: float, local: float) -> None:
+        """The node started at that Unix time, which is that moment of our clock (both in ms)."""
+        self._starts[node] = unix, local
+
     def lists(self, node: NodeId) -> bool:
         """Whether the list names the node, in whatever state."""
         return node in self._members
--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -6,7 +6,10 @@
 from typing import NamedTuple
 
 from stonecove.interface import ClassSettings, Note, Outcome, Settings
+from stonecove.ground.clock import Clock
 from stonecove.ground.log import log_some
+from stonecove.ground.peer_time import PeerTime
+from stonecove.memory.purges import ToldPurges
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.book import Book
 from stonecove.exchange import Answer, Verdict
@@ -40,9 +43,13 @@
 class Relay:
     """The way back to the client."""
 
-    def __init__(self, settings: Settings, book: Book) -> None:
+    def __init__(self, settings: Settings, book: Book, clock: Clock, peer_time: PeerTime,
+                 purges: ToldPurges) -> None:
         self._settings = settings
         self._book = book
+        self._clock = clock
+        self._peer_time = peer_time
+        self._purges = purges
 
     def answer(self, request: OpenRequest, answer: Answer) -> None:
         """The final answer; only the first counts."""
@@ -79,13 +86,16 @@
     def arrived(self, attempt: Attempt, reply: Reply) -> None:
         """A cache has answered an attempt that is out."""
         outcome = OUTCOMES[reply.word]
+        note = _NOTES.get(reply.fields.get("tell", ""), Note.NONE)
+        born = _number(reply.fields.get("born", ""))
+        if outcome is Outcome.OK and note is Note.FILLED_BY_ORIGIN and born:
+            self._peer_time.given_out(born, attempt.written_at, self._clock.now())
         if outcome is Outcome.OK and (wrong := self._wrong(attempt, reply)):
             log_some("bad-copy", node=f"s-{attempt.order.node:08x}", why=wrong)
             outcome = Outcome.ERROR
         if outcome is Outcome.OK:
             verdict = Verdict.UNCHANGED if reply.word == "304" else Verdict.SERVED
             self.answer(attempt.request, Answer(verdict, reply.body, reply.fields.get("ver", "")))
-        note = _NOTES.get(reply.fields.get("tell", ""), Note.NONE)
         self._book.ended(attempt, outcome, int(note), _number(reply.fields.get("waited", "")) or 0.0,
                          self._load(reply.fields.get("meter", "")))
 
@@ -97,11 +107,13 @@
             return "unchanged, but not the client's copy"
         if reply.word == "304" and reply.body:
             return "unchanged, but with bytes"
-        oldest = self._oldest(cls, attempt)
+        if cls.never_kept:
+            return ""
         born = _number(reply.fields.get("born", "")) or 0.0
-        if not cls.never_kept and oldest and born < attempt.written_at - oldest - SLACK:
-            return f"{attempt.written_at - born:.0f} ms old, asked for {oldest:.0f}"
-        return ""
+        if born < self._purges.newest(asked.key, asked.group, attempt.written_at):
+            return "older than a purge"
+        oldest, age = self._oldest(cls, attempt), attempt.written_at - self._peer_time.local(born)
+        return f"{age:.0f} ms old, asked for {oldest:.0f}" if oldest and age > oldest + SLACK else ""
 
     @staticmethod
     def _oldest(cls: ClassSettings, attempt: Attempt) -> float:
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -8,15 +8,17 @@
 from functools import partial
 from typing import Any
 
-from stonecove.choice import Director
-from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Outcome, Purged,
-                                 Refuse, Request, Settings, Timer)
+from stonecove.choice import PURGE_MARGIN, Director
+from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Node, Outcome,
+                                 Purged, Refuse, Request, Settings, Timer)
 from stonecove.ground.clock import Clock
+from stonecove.ground.peer_time import PeerTime
 from stonecove.ground.timers import Timers, nobody
 from stonecove.ground.log import log
 from stonecove.membership import MembersTold, PurgeTold, Told
 from stonecove.memory.budget import Budget
 from stonecove.memory.nodes import NodeTable
+from stonecove.memory.purges import ToldPurges
 from stonecove.memory.requests import Attempt, OpenRequest, OpenRequests
 from stonecove.stages.admit import Admit
 from stonecove.stages.book import Book
@@ -45,7 +47,9 @@
         self._undecided: deque[tuple[float, OpenRequest]] = deque()  # with the time at which each came
         self._wake = wake
         self.book = Book(clock, self.admit, self.post)
-        self.relay = Relay(settings, self.book)
+        self.peer_time = PeerTime(clock)
+        self.purges = ToldPurges(settings.purge_done * PURGE_MARGIN + settings.purge_grace)
+        self.relay = Relay(settings, self.book, clock, self.peer_time, self.purges)
         self.send = Send(clock, timers, self.nodes, settings, self.book, self.relay, connect)
         self._carry: dict[type, Callable[[Any], None]] = {
             Get: self._get, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
@@ -102,7 +106,7 @@
         """News of nodes or a purge. What waits to be written is looked at again, once the module knows."""
         waiting = self.requests.waiting()
         if isinstance(event, PurgeTold):
-            self.post(Purged(max(0.0, self._clock.now() - event.time), event.group, event.key))
+            self._purged(event)
             for attempt in waiting:
                 asked = attempt.request.asked
                 attempt.outdated |= asked.key == event.key if event.key else asked.group == event.group
@@ -111,11 +115,18 @@
         for attempt in waiting:
             self.send.may_go(attempt)
 
+    def _purged(self, event: PurgeTold) -> None:
+        self.peer_time.happened(event.time)
+        now = self._clock.now()
+        self.purges.add(now, event.key, event.group, event.time)
+        self.post(Purged(max(0.0, now - self.peer_time.local(event.time)), event.group, event.key))
+
     def _listed(self, event: MembersTold) -> None:
-        self.nodes.apply(event)
+        members = tuple(member._replace(node=self._with_local_start(member.node)) for member in event.members)
+        self.nodes.apply(MembersTold(event.whole, members))
         form = ListKind.FULL if event.whole else ListKind.DELTA
-        self.post(Listed(form, tuple(member.node for member in event.members)))
-        for member in event.members:
+        self.post(Listed(form, tuple(member.node for member in members)))
+        for member in members:
             node = member.node
             if node.started > 0:
                 self.send.started(node.node, node.started)
@@ -123,6 +134,16 @@
                 zone=node.zone, started=f"{node.started:.0f}", at=f"{member.host}:{member.port}")
         self.send.gone()
 
+    def _with_local_start(self, node: Node) -> Node:
+        """The entry with the moment of its start by our clock, translated once; not later than the news."""
+        if node.started <= 0:
+            return node
+        if (started := self.nodes.local_start(node.node, node.started)) is None:
+            self.peer_time.happened(node.started)
+            started = max(1.0, min(self.peer_time.local(node.started), self._clock.now()))
+            self.nodes.note_start(node.node, node.started, started)
+        return node._replace(started=started)
+
     def figures(self) -> dict[str, float]:
         """What the decisions rest on, for the operators."""
         return self._director.figures(self._clock.now())
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -38,6 +38,7 @@
     "wire.front": 4,
     "lifecycle": 5,
     "explore": 6,
+    "soak": 6,
     "standins": 6,
     "commands": 7,
 }
--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
+import queue
 import struct
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -75,3 +79,19 @@
     fetch.reply(body=b"old", born=moment - 1)
     stand.command().reply(body=b"new")
     assert client.answer().body == b"new"
+
+
+def test_a_clock_that_was_wrong_at_the_start_is_found_out(start: Callable[..., Stand]) -> None:
+    """Copies that the origin gave out just now show how far our clock is off."""
+    stand = start(faults=[Fault(Call.CLOCK, step=3600.0, end=math.inf)])
+    client = stand.client()
+
+    def serve() -> None:
+        with contextlib.suppress(queue.Empty, OSError):
+            while True:
+                stand.command().reply(body=b"good", tell="via_origin", waited=3)
+
+    threading.Thread(target=serve, daemon=True).start()
+    statuses = [client.ask(ident=ident, path="/svc/page", X_TTL_MS="2000").status for ident in range(1, 8)]
+    assert statuses[2:] == [200] * 5
+    assert len(stand.lines("peer-time-moved")) == 1
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -42,7 +42,7 @@
     """A route with two caches, whose connections never come up by themselves."""
 
     def __init__(self) -> None:
-        clock, budget = Clock(lambda: 1000.0), Budget()
+        clock, budget = Clock(lambda: 1000.0, lambda: 1000.0), Budget()
         budget.most = 1e9
         self.channels: list[Channel] = []
         self.route = Route(settings_from(SETTINGS), 7, clock, Timers(clock, lambda: 0.0), budget, 0.0,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -925,7 +925,7 @@
 
 def test_the_stats_line_tells_why_requests_were_refused() -> None:
     lines: list[tuple[str, dict[str, object]]] = []
-    clock, answers = Clock(lambda: 1000.0), list[exchange.Answer]()
+    clock, answers = Clock(lambda: 1000.0, lambda: 1000.0), list[exchange.Answer]()
     budget = Budget()
     budget.most = 1e9
     route = Route(settings_from(SETTINGS), 7, clock, Timers(clock, lambda: 0.0), budget, 0.0, never_connects)
