Show that a missing descriptor, a full log pipe and a busy file end or stop the router

Suspicion: tasks of the root nursery let errors of the system out, and the log is written with a blocking write.

--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import math
+import os
 import queue
+import signal
 import struct
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -14,7 +19,7 @@
 
 import pytest
 
-from stand import SETTINGS, Client, Stand
+from stand import PATIENCE, SETTINGS, Client, Stand
 from stonecove.soak.plan import Call, Fault
 
 
@@ -95,3 +100,73 @@
     statuses = [client.ask(ident=ident, path="/svc/page", X_TTL_MS="2000").status for ident in range(1, 8)]
     assert statuses[2:] == [200] * 5
     assert len(stand.lines("peer-time-moved")) == 1
+
+
+# -- calls that fail for a moment --
+
+
+def serves_after(stand: Stand, until: float) -> None:
+    """Checks that the router lives on, and serves on old and new connections once the trouble is over."""
+    client = stand.client()
+    assert fetched(stand, client) == 200
+    time.sleep(max(0.0, until - time.monotonic()))
+    assert stand.process.poll() is None
+    assert fetched(stand, client, 2) == 200
+    assert fetched(stand, stand.client()) == 200
+
+
+@pytest.mark.parametrize("error", ["EMFILE", "ENFILE", "EIO"])
+def test_statistics_that_cannot_be_read_end_nothing(start: Callable[..., Stand], error: str) -> None:
+    """The span includes the writing of a statistics line."""
+    now = time.monotonic()
+    serves_after(start(faults=[Fault(Call.OPEN, error, now + 2.0, now + 7.5)]), now + 7.7)
+
+
+@pytest.mark.parametrize("call, error", [
+    (Call.SOCKET, "ENFILE"), (Call.ACCEPT, "ECONNABORTED"), (Call.ACCEPT, "ENOBUFS"), (Call.ACCEPT, "EPROTO"),
+    (Call.CONNECT, "ENOBUFS"), (Call.CONNECT, "EADDRNOTAVAIL")])
+def test_calls_that_fail_for_a_moment_end_nothing(start: Callable[..., Stand], call: Call,
+                                                  error: str) -> None:
+    now = time.monotonic()
+    serves_after(start(faults=[Fault(call, error, now + 1.5, now + 2.0)]), now + 2.2)
+
+
+# -- the log --
+
+
+def test_a_log_that_nobody_reads_stops_nothing(start: Callable[..., Stand]) -> None:
+    stand = start()
+    stand.process.send_signal(signal.SIGKILL)
+    stand.process.wait()
+    path = Path(stand.folder.name, "config.json")
+    reader, writer = os.pipe()
+    process = subprocess.Popen([sys.executable, "-m", "stonecove"], stderr=writer,
+                               env={**os.environ, "RELAY_CONFIG": str(path)})
+    os.close(writer)
+    try:
+        stand.wait(stand.live, "the router is ready")
+        client = stand.client()
+        client.sock.settimeout(PATIENCE)
+        for _ in range(2000):  # as many lines as no pipe holds
+            process.send_signal(signal.SIGHUP)
+            assert client.ask(path="/status/live").status == 200
+        assert fetched(stand, client) == 200
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == 0
+    finally:
+        process.kill()
+        process.wait()
+        os.close(reader)
+
+
+def test_a_reload_whose_file_cannot_be_opened_for_a_moment_is_made_up_for(start: Callable[..., Stand],
+                                                                        tmp_path: Path) -> None:
+    flag = tmp_path / "no-descriptors"
+    stand = start(faults=[Fault(Call.OPEN, "EMFILE", path="config.json", flag=str(flag))])
+    flag.touch()
+    changed = {**stand.config, "limits": {**stand.config["limits"], "sockets": 99}}
+    stand.reload(json.dumps(changed))
+    stand.wait(lambda: stand.lines("reload-refused"), "the failure")
+    flag.unlink()
+    stand.wait(lambda: stand.lines("reloaded"), "the reload")
+    assert "sockets=99" in stand.lines("reloaded")[0]
