Keep the router up through system calls that fail for a moment

Cause: one mistake in many places, a call's failure of a moment taken for final. /proc/self/statm without a descriptor (EMFILE, ENFILE, EIO) left the root nursery and ended the process; a reload was tried once; the first ECONNABORTED at the stop left the rest of the backlog to a reset; socket, bind, the configuration file and the event loop at the start ended it before it began. A signal during the stop was delivered again with its default effect on the way out, so that a second SIGTERM or a SIGHUP ended the router by that signal.

Change: every task of the root nursery runs under keep_running (a line 'task-failed', then anew); the memory figures are read from a descriptor kept open; Reloader tries an unreadable file again with a growing pause; the stop accepts on past failed accepts, and takes signals in until its end; the steps of the start are tried again for 5 s.

--- /dev/null
+++ b/stonecove/ground/system_errors.py
@@ -0,0 +1,13 @@
+"""Which errors of system calls tell of our own machine for a moment, and not of a peer."""
+
+from __future__ import annotations
+
+import errno
+
+NO_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # accept(2), socket(2)
+NO_WAY_OUT = frozenset((errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.EAGAIN))  # connect(2)
+
+
+def is_local(error: OSError) -> bool:
+    """Whether the call failed for a lack on our side, so that it may succeed by and by."""
+    return error.errno in NO_ROOM or error.errno in NO_WAY_OUT
--- a/stonecove/lifecycle/config.py
+++ b/stonecove/lifecycle/config.py
@@ -23,6 +23,15 @@
     """A configuration that can't be used; the text is one line."""
 
 
+class ConfigUnreadableError(ConfigError):
+    """A file that can't be read now, or not to its end: it may be in the middle of being written."""
+
+    def __init__(self, why: str, number: int | None = None) -> None:
+        """`number`: the errno, where a call failed."""
+        super().__init__(why)
+        self.number = number
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration, typed."""
@@ -88,9 +97,9 @@
     try:
         table = ujson.loads(Path(path).read_bytes())
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from error
+        raise ConfigUnreadableError(f"{path}: {error.strerror}", error.errno) from error
     except ValueError as error:
-        raise ConfigError(f"{path} is not JSON: {error}") from error
+        raise ConfigUnreadableError(f"{path} is not JSON: {error}") from error
     if not isinstance(table, dict):
         raise ConfigError(f"{path} holds no JSON object")
     return config_from(table, env)
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
-import errno
 import gc
 import heapq
-import resource
 import select
 import signal
 import socket
@@ -14,14 +11,18 @@
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
-from pathlib import Path
 
 import trio
 
 from stonecove.ground.clock import Clock
 from stonecove.ground.timers import Timers
-from stonecove.lifecycle.config import Config, ConfigError, read_config
 from stonecove.ground.log import log, log_some
+from stonecove.ground.system_errors import NO_ROOM, is_local
+from stonecove.lifecycle.config import Config, ConfigError
+from stonecove.lifecycle.memory_gauge import MemoryGauge
+from stonecove.lifecycle.reload import Reloader
+from stonecove.lifecycle.startup import load_config, open_listener, patiently
+from stonecove.lifecycle.supervisor import keep_running
 from stonecove.memory.budget import Budget
 from stonecove.stages.route import Route
 from stonecove.stages.send import connection_limit
@@ -31,12 +32,12 @@
 from stonecove.wire.follow import ChangeLog
 from stonecove.wire.front import Front
 
-BACKLOG = 1024
 GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
 KILL_AFTER = 0.7  # SIGKILL comes so many seconds after the longest deadline, counted from SIGTERM,
 LONGEST_COUNTED = 3.0  # with a longer one counted as so many seconds
 KILL_MARGIN = 0.5  # so long before SIGKILL all is answered
+LAST_ACCEPTS = 0.1  # seconds beyond that for connections that could not be accepted for a moment
 LAST_WRITE = 0.3  # seconds left then to write the answers out
 MEMORY_SHARE = 0.25  # part of the memory limit for what is held of requests and answers; they are copied
 STATS_EVERY = 5.0
@@ -48,7 +49,6 @@
 PLACES_PART = 0.125  # part of all places that are made at once: looking through all clients costs
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 USUAL_ENDS = ("closed by the client", "closed by us", "stopping", "room for others", "idle for long")
-_NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Server:
@@ -69,6 +69,10 @@
         self._limit(config)
         self._front = Front(config.settings, self._route)
         self._changelog = ChangeLog(*config.changelog, config.last, config.seed)
+        self._memory = MemoryGauge()
+        self._reloader = Reloader(self._take_over)
+        self._stopping = False
+        self._stop_by = 0.0  # once it stops: the moment of trio's clock by which all is answered
         longest = max(cls.deadline for cls in config.settings.classes) / 1000.0
         self._last_answer = min(longest, LONGEST_COUNTED) + KILL_AFTER - KILL_MARGIN  # seconds after SIGTERM
 
@@ -118,34 +122,41 @@
             self._route.told(event)
         with trio.open_signal_receiver(*SIGNALS) as signals:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came during the start come now
-            for task in (self._run_timers, self._decide, self._stats, self._check):
-                self._nursery.start_soon(task)
-            self._nursery.start_soon(self._changelog.run, self._route)
+            for name, task in (("timers", self._run_timers), ("decide", self._decide), ("stats", self._stats),
+                               ("check", self._check), ("reload", self._reloader.run),
+                               ("changelog", partial(self._changelog.run, self._route))):
+                self._nursery.start_soon(keep_running, name, task)
             self._nursery.start_soon(self._accept, listener)
             self._front.ready = True
             log("ready", name=self._config.name, listen=":".join(map(str, self._config.listen)),
                 nodes=len(self._route.nodes))
             async for number in signals:
-                if number == signal.SIGHUP:
-                    self._reload()
-                    continue
-                log("stopping", signal=signal.Signals(number).name, open=len(self._route.requests),
-                    within=self._last_answer)
-                break
-            await self._drain(listener)
+                self._signalled(signal.Signals(number), listener)
+
+    def _signalled(self, number: signal.Signals, listener: socket.socket) -> None:
+        """Acts on a signal. Guards against one that comes during the stop and would cut it short."""
+        if self._stopping:
+            log("signal-ignored", signal=number.name, why="stopping")
+        elif number == signal.SIGHUP:
+            self._reloader.request()
+        else:
+            log("stopping", signal=number.name, open=len(self._route.requests), within=self._last_answer)
+            self._stopping = True
+            self._stop_by = trio.current_time() + self._last_answer
+            self._nursery.start_soon(self._stop, listener)
+
+    async def _stop(self, listener: socket.socket) -> None:
+        """Finishes what was taken, then ends the router."""
+        await keep_running("drain", partial(self._drain, listener))
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # their default effect would be back on the way out
         self._nursery.cancel_scope.cancel()
 
-    def _reload(self) -> None:
+    def _take_over(self, config: Config) -> None:
         """Takes over from a new configuration what can change while requests go on.
 
-        The whole file is checked first: guards against half a new configuration, against ending over a bad
+        The whole file was checked before: guards against half a new configuration, against ending over a bad
         one, and against another router's, whose change log tells of caches that are not ours.
         """
-        try:
-            config = read_config()
-        except ConfigError as error:
-            log("reload-refused", why=str(error))
-            return
         ours, theirs = self._config.identity(), config.identity()
         if foreign := [part for part in ours if ours[part] != theirs[part]]:
             log("reload-refused", why=f"the file is another router's, by its {', '.join(foreign)}")
@@ -166,18 +177,16 @@
 
     async def _drain(self, listener: socket.socket) -> None:
         """Goes on accepting for the grace, finishes what was taken, and ends well before SIGKILL."""
-        end = trio.current_time() + self._last_answer
+        end = self._stop_by
         self._front.ready = False
-        self._route.admit.latest = self._clock.now() + self._last_answer * 1000.0
-        await trio.sleep(min(GRACE, self._last_answer))
+        self._route.admit.latest = self._clock.now() + (end - trio.current_time()) * 1000.0
+        await trio.sleep_until(end - self._last_answer + min(GRACE, self._last_answer))
         # Guards against requests that are lost with their connections, as those wait to be accepted.
-        while trio.current_time() < end and select.select([listener], [], [], 0)[0]:
+        while trio.current_time() < end and _waits_to_be_accepted(listener):
             await trio.sleep(0.01)
         self._accepting.cancel()  # the task is ended before the socket is, which it may be about to wait for
         await trio.lowlevel.checkpoint()
-        with contextlib.suppress(OSError):  # what came up since, until there is none, beyond the places too
-            while True:
-                self._take(listener)
+        await self._take_last(listener, end)
         listener.close()
         while trio.current_time() < end and not self._over():
             await trio.sleep(0.01)
@@ -187,6 +196,23 @@
                 await trio.sleep(0.01)
         log("stopped", open=len(self._route.requests))
 
+    async def _take_last(self, listener: socket.socket, end: float) -> None:
+        """Accepts what came up since, until there is none, beyond the places too.
+
+        Guards against one connection that was aborted, or a lack of a moment, resetting all the others.
+        """
+        end += LAST_ACCEPTS
+        while True:
+            try:
+                self._take(listener)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_some("accept-failed", why=error.strerror, clients=len(self._clients))
+                if trio.current_time() >= end:
+                    return
+                await trio.sleep(0.01 if is_local(error) else 0)
+
     def _over(self) -> bool:
         """Whether nobody is left; clients that rest are told to go, with a half-close."""
         for client in list(self._clients):
@@ -200,7 +226,8 @@
             late = (trio.current_time() - due) * 1000.0
             self._route.book.line(open=len(self._route.requests), clients=len(self._clients),
                                   links=self._route.send.links(), late=late, held_kb=self._budget.used / 1e3,
-                                  resident_mb=_resident(), collections=gc.get_stats()[2]["collections"],
+                                  resident_mb=self._memory.resident_mb(),
+                                  collections=gc.get_stats()[2]["collections"],
                                   cpu_ms=(time.process_time() - before) * 1000.0, **self._route.figures())
             limit = self._clock.now() - CLIENT_IDLE
             for client in list(self._clients):
@@ -239,7 +266,7 @@
 
     async def _accept(self, listener: socket.socket) -> None:
         with self._accepting:
-            await self._accept_all(listener)
+            await keep_running("accept", partial(self._accept_all, listener))
 
     async def _accept_all(self, listener: socket.socket) -> None:
         while True:
@@ -253,8 +280,10 @@
                 continue
             except OSError as error:
                 # Guards against running out of descriptors: wait, and let idle connections go.
-                if error.errno in _NO_ROOM:
-                    log_some("no-descriptors", clients=len(self._clients), links=self._route.send.links())
+                lacking = error.errno in NO_ROOM
+                log_some("no-descriptors" if lacking else "accept-failed", why=error.strerror,
+                         clients=len(self._clients), links=self._route.send.links())
+                if lacking:
                     self._make_room()
                     await trio.sleep(0.05)
 
@@ -284,9 +313,11 @@
         await Server(config, nursery).run(listener)
 
 
-def _resident() -> float:
-    """Megabytes of memory that the process holds."""
-    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize() / 1e6
+def _waits_to_be_accepted(listener: socket.socket) -> bool:
+    """Whether a connection has come up that was not accepted."""
+    poll = select.poll()
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 def _calm_collector() -> None:
@@ -296,28 +327,33 @@
     gc.set_threshold(20_000, 20, 20)
 
 
-async def _main(config: Config) -> int:
-    with socket.socket() as listener:
-        listener.setblocking(False)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind(config.listen)
-        except OSError as error:
-            print(f"stonecove: can't listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}",
-                  file=sys.stderr)
-            return 2
-        listener.listen(BACKLOG)
+async def _main(config: Config, listener: socket.socket) -> None:
+    with listener:
         _calm_collector()
         await serve(config, listener)
-    return 0
 
 
 def main() -> int:
-    """Entry point of the edge router."""
+    """Entry point of the edge router; returns the exit status."""
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # guards against their default effect until all is up
     try:
-        config = read_config()
+        config = load_config()
     except ConfigError as error:
         print(f"stonecove: {error}", file=sys.stderr)
         return 2
-    return trio.run(_main, config)
+    try:
+        listener = open_listener(config.listen)
+    except OSError as error:
+        print(f"stonecove: can't listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}",
+              file=sys.stderr)
+        return 2
+    patiently(_probe_event_loop)
+    trio.run(_main, config, listener)
+    return 0
+
+
+def _probe_event_loop() -> None:
+    """Raises OSError if there is no descriptor for the event loop, which is about to need some."""
+    select.epoll().close()
+    for sock in socket.socketpair():
+        sock.close()
--- /dev/null
+++ b/stonecove/lifecycle/startup.py
@@ -0,0 +1,62 @@
+"""The first steps of the process, each tried again for a while where the system lacks something."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+from stonecove.ground.log import log_some
+from stonecove.ground.system_errors import is_local
+from stonecove.lifecycle.config import Config, ConfigUnreadableError, read_config
+
+PATIENCE = 5.0  # seconds for which a step is tried again; the platform waits 30 s for a router to be ready
+PAUSE = 0.05
+BACKLOG = 1024
+_LASTING = (errno.ENOENT, errno.EACCES, errno.EISDIR, errno.ENOTDIR)
+
+Result = TypeVar("Result")
+
+
+def _may_pass(error: Exception) -> bool:
+    """Whether what failed may succeed in a moment."""
+    if isinstance(error, ConfigUnreadableError):
+        return error.number is not None and error.number not in _LASTING
+    return isinstance(error, OSError) and (is_local(error) or error.errno == errno.EADDRINUSE)
+
+
+def patiently(step: Callable[[], Result]) -> Result:
+    """The step's result; raises its error once it lasts, or is of a kind that does not pass."""
+    end = time.monotonic() + PATIENCE
+    while True:
+        try:
+            return step()
+        except (OSError, ConfigUnreadableError) as error:
+            if not _may_pass(error) or time.monotonic() >= end:
+                raise
+            log_some("start-delayed", why=str(error))
+            time.sleep(PAUSE)
+
+
+def load_config() -> Config:
+    """The configuration; raises ConfigError."""
+    return patiently(read_config)
+
+
+def open_listener(address: tuple[str, int]) -> socket.socket:
+    """A listening socket; raises OSError."""
+    def step() -> socket.socket:
+        listener = socket.socket()
+        try:
+            listener.setblocking(False)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
+    return patiently(step)
--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -170,3 +170,53 @@
     flag.unlink()
     stand.wait(lambda: stand.lines("reloaded"), "the reload")
     assert "sockets=99" in stand.lines("reloaded")[0]
+
+
+# -- the stop and the start --
+
+
+def test_a_connection_that_was_aborted_takes_no_other_along_at_the_stop(start: Callable[..., Stand],
+                                                                        tmp_path: Path) -> None:
+    flag = tmp_path / "aborted"
+    stand = start(sockets=16, faults=[Fault(Call.ACCEPT, "ECONNABORTED", flag=str(flag), chance=0.7)])
+    held = [stand.client() for _ in range(8)]  # all places
+    for client in held:
+        client.send(path="/svc/confirm", X_TTL_MS="60000")
+    for _ in held:
+        stand.command()
+    late = [stand.client() for _ in range(4)]
+    for client in late:
+        client.send()
+    flag.touch()
+    stand.process.send_signal(signal.SIGTERM)
+    assert {client.answer().status for client in late} == {503}
+    assert {client.answer().status for client in held} == {502}
+    assert stand.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_a_signal_during_the_stop_cuts_nothing_short(start: Callable[..., Stand],
+                                                     number: signal.Signals) -> None:
+    stand = start()
+    client = stand.client()
+    client.send()
+    fetch = stand.command()
+    stand.process.send_signal(signal.SIGTERM)
+    stand.wait(lambda: stand.lines("stopping"), "the stop")
+    for _ in range(3):
+        stand.process.send_signal(number)
+        time.sleep(0.05)
+    fetch.reply(body=b"whole")
+    assert client.answer().body == b"whole"
+    assert stand.process.wait(PATIENCE) == 0
+    assert stand.lines("stopped")
+
+
+@pytest.mark.parametrize("call, error, path", [
+    (Call.SOCKET, "ENFILE", ""), (Call.OPEN, "EMFILE", "config.json"), (Call.OPEN, "EIO", "config.json")])
+def test_a_call_that_fails_at_the_start_is_made_again(start: Callable[..., Stand], call: Call, error: str,
+                                                      path: str) -> None:
+    now = time.monotonic()
+    stand = start(faults=[Fault(call, error, now, now + 1.0, path=path)])
+    assert fetched(stand, stand.client()) == 200
+    assert stand.lines("start-delayed")
