--- /dev/null
+++ b/tests/test_unread_input.py
@@ -0,0 +1,118 @@
+"""What a client sent while the router could not read: requests grow old, and clients leave, unseen.
+
+The router is stopped (SIGSTOP) to force the crossing: all that comes meanwhile is there when it goes on.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from stand import SETTINGS, Client, Fetch, Stand, record
+
+EXCESS = 150  # ms by which the limit passed on may exceed what the client has left
+UNREAD = 0.6  # seconds
+
+
+@pytest.fixture
+def start() -> Iterator[Callable[..., Stand]]:
+    """Starts routers that are ended with the test; none may log a bug."""
+    running: list[Stand] = []
+
+    def make(**what: Any) -> Stand:
+        running.append(Stand(**what))
+        return running[-1]
+
+    yield make
+    for stand in running:
+        bugs = stand.lines("bug") + stand.lines("rule-violation")
+        stand.close()
+        assert not bugs
+
+
+@contextlib.contextmanager
+def stopped(stand: Stand) -> Iterator[None]:
+    """The router reads nothing meanwhile."""
+    stand.process.send_signal(signal.SIGSTOP)
+    yield
+    stand.process.send_signal(signal.SIGCONT)
+
+
+def fetches(stand: Stand, count: int) -> list[Fetch]:
+    """The next fetches, as many as there are within a second, so many at most."""
+    found: list[Fetch] = []
+    with contextlib.suppress(queue.Empty):
+        while len(found) < count:
+            if (fetch := stand.commands.get(timeout=1.0)).word == "fetch":
+                found.append(fetch)
+    return found
+
+
+def leave(client: Client, how: str) -> None:
+    """The client no longer waits for its request 1."""
+    if how == "abort":
+        client.sock.sendall(record(2, 1))
+    elif how == "close":
+        client.sock.shutdown(socket.SHUT_RDWR)
+    else:
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        socket.close(client.sock.detach())
+
+
+@pytest.mark.parametrize("connection", ["resting", "new"])
+def test_the_time_that_a_request_waited_unread_is_taken_off_its_deadline(start: Callable[..., Stand],
+                                                                        connection: str) -> None:
+    stand = start()
+    client = stand.client()
+    assert client.ask(path="/status/live").status == 200
+    with stopped(stand):
+        if connection == "new":
+            client = stand.client()
+        client.send(X_TTL_MS="3000")
+        sent = time.monotonic()
+        time.sleep(UNREAD)
+    limit = int(stand.command().fields["limit"])
+    left = 3000 - (time.monotonic() - sent) * 1000
+    assert limit <= left + EXCESS
+
+
+def test_of_requests_that_came_one_by_one_the_oldest_counts(start: Callable[..., Stand]) -> None:
+    stand = start()
+    client, sent = stand.client(), {}
+    assert client.ask(path="/status/live").status == 200
+    with stopped(stand):
+        for ident in (1, 2, 3):
+            client.send(ident, X_TXN=f"{ident:016x}", X_TTL_MS="3000")
+            sent[f"{ident:016x}"] = time.monotonic()
+            time.sleep(0.3)
+    for fetch in fetches(stand, 3):
+        left = 3000 - (time.monotonic() - sent[fetch.txn]) * 1000
+        assert int(fetch.fields["limit"]) <= left + EXCESS
+
+
+@pytest.mark.parametrize("how", ["abort", "close", "reset"])
+def test_no_attempt_begins_for_a_client_that_left_unseen(start: Callable[..., Stand], how: str) -> None:
+    """Second copies fall due, and the clients leave, while the router is stopped.
+
+    Which of the two it looks at first is left to chance, so there are several rounds.
+    """
+    classes = [{**entry, "on_time": 400.0} for entry in SETTINGS["classes"]]
+    stand = start(classes=classes)
+    for _ in range(5):
+        clients = [stand.client() for _ in range(3)]
+        for client in clients:
+            client.send()
+        for _ in clients:
+            stand.command()
+        with stopped(stand):
+            for client in clients:
+                leave(client, how)
+            time.sleep(0.4)
+        assert fetches(stand, 1) == []
