Count the time that input waited unread, and read a client before an attempt for it begins

The last look before an attempt (Send.begin) trusted what had been read so far, so a second copy that fell due went out for a client whose ABORT_REQUEST, FIN or reset was there unread.

Change: PollWatch notes when the event loop last asked for input, and TCP_INFO how long ago the last bytes came; the larger of both is taken off what the client has left. Send.begin reads what the client has sent before it decides.

--- a/stonecove/exchange.py
+++ b/stonecove/exchange.py
@@ -26,6 +26,10 @@
     pause: float = 0.0  # on a refusal, for how long the client should stay away
 
 
+def nothing_more() -> None:
+    """The client sends nothing more."""
+
+
 @dataclass(slots=True, eq=False)
 class Asked:
     """A request, checked; the texts pass on to caches unchanged."""
@@ -43,6 +47,8 @@
     seen: str  # tag of the copy that the client holds; empty if none
     body: bytes
     reply: Callable[[Answer], None]
+    unread_for: float = 0.0  # ms for which it may have waited to be read
+    look: Callable[[], None] = nothing_more  # takes in what the client has sent since, or that it has left
     idempotency_key: str = ""  # by which caches know a repeat; empty if the client named none
 
 
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -44,7 +44,8 @@
         if len(self._requests) >= self._most or not self._budget.has(holds):
             return None
         self._budget.take(holds)
-        deadline = min(now + max(1.0, min(asked.ttl, LONGEST) - MARGIN), self.latest)
+        left = min(asked.ttl, LONGEST) - asked.unread_for - MARGIN
+        deadline = min(now + max(1.0, left), self.latest)
         return self._requests.add(asked, deadline, holds)
 
     def too_much(self, now: float, since: float, kind: int) -> str:
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -206,7 +206,11 @@
         return True
 
     def begin(self, attempt: Attempt) -> bytes | None:
-        """The bytes of an attempt whose first byte is about to be written; None if it can't go."""
+        """The bytes of an attempt whose first byte is about to be written; None if it can't go.
+
+        Guards against work for a client whose leaving has come, but was not read so far.
+        """
+        attempt.request.asked.look()
         if not self.may_go(attempt):
             return None
         now = self._clock.now()
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -8,10 +8,12 @@
 
 import trio
 
+from stonecove.ground.system_errors import is_local
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import BufferFullError
 from stonecove.wire.fastcgi import FastCgiError
 from stonecove.wire.session import GULP, Handler, Session
+from stonecove.wire.unread import PollWatch, last_received_ago
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 STALL = 10.0  # seconds for which a client may take in nothing
@@ -21,9 +23,12 @@
     """A session on a plain non-blocking socket."""
 
     def __init__(self, sock: socket.socket, handler: Handler, clock: Callable[[], float],
-                 budget: Budget) -> None:
+                 budget: Budget, polls: PollWatch | None = None) -> None:
+        """`polls` tells how long input may have waited; without it, only what the kernel knows counts."""
         super().__init__(sock, handler, clock, budget)
         self._sock: socket.socket = sock
+        self._polls = polls
+        self._receiving = False
         self._room_wanted = trio.Event()
         self._scope = trio.CancelScope()
         self._reading = trio.CancelScope()
@@ -80,21 +85,17 @@
                 left -= count
 
     async def _read(self) -> str:
-        buffer, left = self._buffer, LINGER[1]
+        left = LINGER[1]
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._sock)
                 if self._reading.cancel_called:
                     continue  # what came behind the half-close is not taken
-                with buffer.room() as view:
-                    try:
-                        count = self._sock.recv_into(view)
-                    except BlockingIOError:
-                        continue
+                count = self._receive()
+                if count is None:
+                    continue
                 if not count:
                     return "closed by the client"
-                buffer.filled(count)
-                self.received()
                 if self._leaving:
                     await trio.lowlevel.checkpoint()
                     left -= count
@@ -106,6 +107,42 @@
             except OSError as error:
                 return str(error) or type(error).__name__
 
+    def _receive(self) -> int | None:
+        """Reads once and works off what came; its count, 0 at the end, None if there is nothing now."""
+        with self._buffer.room() as view:
+            try:
+                count = self._sock.recv_into(view)
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                if is_local(error):
+                    return None
+                raise
+        if count:
+            self._buffer.filled(count)
+            received_ago = last_received_ago(self._sock)
+            self.unread_for = self._polls.unread_for(received_ago) if self._polls else received_ago
+            self._receiving = True
+            try:
+                self.received()
+            finally:
+                self._receiving = False
+        return count
+
+    def look(self) -> None:
+        """Reads what is there. The task that reads finds the end and what can't be read by itself."""
+        if self._receiving or self._leaving or self._reading.cancel_called:
+            return
+        try:
+            while (count := self._receive()) is not None:
+                if not count:
+                    self._left()
+                    return
+        except (BufferFullError, FastCgiError) as error:
+            self._leave(str(error))
+        except OSError:
+            self._left()
+
     def _start_writing(self) -> None:
         """Most clients need no task that writes: they take all at once."""
         if not self._wrote:
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -70,6 +70,7 @@
             if params.get("CONTENT_LENGTH", "") not in ("", str(len(body))):
                 raise BadRequestError(400, "CONTENT_LENGTH is not that of the body")
             asked = self._intake.take(path, fields_of(params), body, partial(self._reply, connection, ident))
+            asked.unread_for, asked.look = connection.unread_for, connection.look
             if self._route.requests.waits(asked.txn):
                 raise BadRequestError(400, "X-Txn is that of an open request")
         except BadRequestError as error:
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -51,6 +51,7 @@
         self._leaving = ""  # why the connection ends once all that is open on it is answered
         self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
         self.mute = True  # not a byte has come so far
+        self.unread_for = 0.0  # ms for which the bytes that came last may have waited to be read
         self._urgent: deque[bytes] = deque()
         self._answers: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent = 0  # bytes of answers that wait to be written
@@ -106,6 +107,10 @@
         self._decoder.close()
         self._budget.give(self._unsent)
         self._unsent = 0
+        self._left()
+
+    def _left(self) -> None:
+        """The client wants none of what is open."""
         for ident in sorted(self._decoder.open):
             self._handler.aborted(self, ident)
 
@@ -147,6 +152,9 @@
         if not self._leaving and (self.idle() or self.mute) and not self._unread():
             self._leave(why)
 
+    def look(self) -> None:
+        """Takes in what has come meanwhile, also the client's leaving: the last look before an attempt."""
+
     def _unread(self) -> bool:
         """Whether bytes wait to be read."""
         try:
