--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -220,3 +220,41 @@
     stand = start(faults=[Fault(call, error, now, now + 1.0, path=path)])
     assert fetched(stand, stand.client()) == 200
     assert stand.lines("start-delayed")
+
+
+# -- connections of our own --
+
+
+@pytest.mark.parametrize("call, error", [
+    (Call.SOCKET, "ENFILE"), (Call.SOCKET, "ENOBUFS"), (Call.CONNECT, "EADDRNOTAVAIL"),
+    (Call.CONNECT, "ENETUNREACH"), (Call.CONNECT, "ENOBUFS")])
+def test_a_lack_of_our_own_is_waited_out_and_blames_no_cache(start: Callable[..., Stand], tmp_path: Path,
+                                                             call: Call, error: str) -> None:
+    flag = tmp_path / "lacking"
+    stand = start(faults=[Fault(call, error, flag=str(flag))])
+    client = stand.client()
+    assert client.ask(path="/status/live").status == 200
+    flag.touch()
+    client.send()
+    time.sleep(0.15)  # less than a connection may take
+    flag.unlink()
+    stand.command().reply(body=b"good")
+    assert client.answer().body == b"good"
+    assert not stand.lines("policy")
+
+
+def test_a_whole_list_that_comes_in_over_seconds_is_taken(start: Callable[..., Stand]) -> None:
+    stand = start()
+    assert stand.log.since.get(timeout=PATIENCE) == 1
+    stand.log.tell(1, 0)
+    nodes = [stand.record(cache, 0) for cache in stand.caches]
+    nodes += [struct.pack(">IIHBBBHIQ", 0x1000 + place, 0x7F000001, 1, 0, 0, 1, 0, 9000, 0)
+              for place in range(3000)]
+    payload = b"".join(nodes)
+    data = struct.pack(">IQB", 9 + len(payload), 2, 1) + payload
+    sock = stand.log.listener.accepted[-1]
+    for place in range(10):
+        sock.sendall(data[place * len(data) // 10:(place + 1) * len(data) // 10])
+        time.sleep(0.4)
+    stand.wait(lambda: len(stand.lines("node")) == 4 + 3002, "the whole list")
+    assert stand.log.since.empty() and not stand.lines("changelog-lost")
--- a/tests/test_unread_input.py
+++ b/tests/test_unread_input.py
@@ -116,3 +116,13 @@
                 leave(client, how)
             time.sleep(0.4)
         assert fetches(stand, 1) == []
+
+
+def test_a_client_that_only_ends_its_sending_gets_its_answer(start: Callable[..., Stand]) -> None:
+    """It can't be told from one that left, so nothing new is begun; but a final answer is owed."""
+    stand = start()
+    client = stand.client()
+    client.send()
+    stand.command()
+    client.sock.shutdown(socket.SHUT_WR)
+    assert client.answer().status in (200, 502, 503)
