Wait out our own lacks before blaming a cache, and take a list that comes slowly

Cause: Connection.run took every error of socket and connect for the cache's: ENOBUFS, EADDRNOTAVAIL or ENETUNREACH for a moment ejected the cache at once, ENFILE failed up to eight attempts within a millisecond. ChangeLog._follow took only whole frames for progress, so a whole list that needs over 2.5 s to come in was never taken; a connection to a crowded log got 0.8 s, never longer; and a short write of the first 8 bytes left both sides waiting.

Change: local errors (ground/system_errors.py) are tried again within the time that a connection may take, and end an attempt as never sent. 4 KB of one frame count as progress. The wait for the log doubles up to 3.2 s. The hello is written whole.

The longer wait for the log and the short hello have no test of their own.

--- a/stonecove/wire/connection.py
+++ b/stonecove/wire/connection.py
@@ -7,11 +7,15 @@
 
 import trio
 
+from stonecove.ground.system_errors import is_local
 from stonecove.wire.buffer import BufferFullError
 from stonecove.wire.channel import Channel, Owner
 from stonecove.wire.resp import RespError
 
 
+PAUSE = 0.01  # seconds between two tries where our own system lacked something
+
+
 class Connection(Channel):
     """A channel on a plain non-blocking socket; a task writes what could not be written at once."""
 
@@ -35,19 +39,34 @@
         """Connects, then reads and writes until either side ends it. No error leaves here."""
         why = ""
         try:
-            self.lacking = True
-            self._sock = socket.socket()
-            self.lacking = False
-            with self._scope, trio.socket.from_stdlib_socket(self._sock) as sock:
-                why = await self._live(sock)
+            with self._scope:
+                why = await self._live_patiently()
         except OSError as error:
             self.failed(error)
         finally:
             self.ended(why)
 
-    async def _live(self, sock: trio.socket.SocketType) -> str:
+    async def _live_patiently(self) -> str:
+        """Connects, once more where our own system lacks something for a moment; returns why it ended.
+
+        Guards against blaming the server for that, and against attempts that all fail in the same moment.
+        """
+        end = trio.current_time() + self._patience
+        while True:
+            try:
+                self._sock = socket.socket()
+                with trio.socket.from_stdlib_socket(self._sock) as sock:
+                    return await self._live(sock, end)
+            except OSError as error:
+                self.lacking = is_local(error) and not self.up
+                if not self.lacking or trio.current_time() + PAUSE >= end:
+                    raise
+            await trio.sleep(PAUSE)
+            self.lacking = False
+
+    async def _live(self, sock: trio.socket.SocketType, end: float) -> str:
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        with trio.move_on_after(self._patience) as waiting:
+        with trio.move_on_at(end) as waiting:
             await sock.connect(self._address)
         if waiting.cancelled_caught:
             return "not up in time"
--- a/stonecove/wire/follow.py
+++ b/stonecove/wire/follow.py
@@ -12,10 +12,18 @@
 from stonecove.wire.changelog import MOST_FRAME, ChangeLogError, Follower, frames
 
 # What the log tells counts as told 2 s after a break and 4 s after it stops: all waits must fit into that.
-QUIET = 2.5  # a frame comes each second; after so many without a whole one the connection is given up
+QUIET = 2.5  # a frame comes each second; after so many seconds without progress the connection is given up
+LEAST_PROGRESS = 4096  # bytes of one frame that count as progress, for a long list may take long to come in
 BACK_OFF = 0.05, 0.4  # seconds before the next connection, doubled from the first to the second,
+NOT_UP = "not up in time"
 JITTER = 0.5  # less up to this part of them: a fleet that lost its log at once does not come back in step
-CONNECT_WAIT = 0.8
+CONNECT_WAIT = 0.8, 3.2  # seconds for a connection to come up: the first time, doubled up to the second
+
+
+async def _send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    """Guards against a write that is short, after which the log would wait for the rest for good."""
+    while data:
+        data = data[await sock.send(data):]
 
 
 class ChangeLog:
@@ -45,12 +53,12 @@
 
     async def _keep(self, sink: MembershipSink) -> None:
         """Connects again and again, with a short back-off."""
-        wait = BACK_OFF[0]
+        wait, patience = BACK_OFF[0], CONNECT_WAIT[0]
         while True:
             before = self._follower.last
             why = "closed"
             try:
-                why = await self._follow(sink)
+                why = await self._follow(sink, patience)
             except (OSError, BufferFullError, ChangeLogError) as error:
                 why = str(error) or type(error).__name__
             except Exception as error:  # guards against one event that can't be worked off ending the process
@@ -58,28 +66,40 @@
                 why = "an event can't be worked off"
             log("changelog-lost", last=self._follower.last, why=why)
             wait = BACK_OFF[0] if self._follower.last != before else min(2 * wait, BACK_OFF[1])
+            patience = min(2 * patience, CONNECT_WAIT[1]) if why == NOT_UP else CONNECT_WAIT[0]
             await trio.sleep(wait * self._random.uniform(1.0 - JITTER, 1.0))
 
-    async def _follow(self, sink: MembershipSink) -> str:
+    async def _follow(self, sink: MembershipSink, patience: float) -> str:
+        """Follows the log over one connection; returns why it ended. Patience is in seconds."""
         with trio.socket.socket() as sock:
-            with trio.move_on_after(CONNECT_WAIT) as waiting:
+            with trio.move_on_after(patience) as waiting:
                 await sock.connect(self._address)
-                await sock.send(self._follower.hello())
+                await _send_all(sock, self._follower.hello())
             if waiting.cancelled_caught:
-                return "not up in time"
+                return NOT_UP
             log("changelog-up", last=self._follower.last)
-            buffer = Buffer(MOST_FRAME + 4096)
-            # Guards against a log that was cut off or stops in the middle of a frame: the connection stays
-            # open, and bytes may still trickle in. Only whole frames count.
-            with trio.move_on_after(QUIET) as quiet:
-                while True:
-                    with buffer.room(4096) as view:
-                        count = await sock.recv_into(view)
-                    if not count:
-                        return "closed by the log"
-                    buffer.filled(count)
-                    for frame in frames(buffer):
-                        quiet.deadline = trio.current_time() + QUIET
-                        if not self._follower.take(frame, sink):
-                            return f"a gap before {frame.number}"
-            return "silent"
+            return await self._take_frames(sock, sink)
+
+    async def _take_frames(self, sock: trio.socket.SocketType, sink: MembershipSink) -> str:
+        """Takes in what comes until the connection ends or makes no progress; returns why.
+
+        Guards against a log that was cut off or stops in the middle of a frame: the connection stays open,
+        and bytes may still trickle in. A whole frame counts as progress, or a good part of a long one.
+        """
+        buffer, progress = Buffer(MOST_FRAME + 4096), 0
+        with trio.move_on_after(QUIET) as quiet:
+            while True:
+                with buffer.room(4096) as view:
+                    count = await sock.recv_into(view)
+                if not count:
+                    return "closed by the log"
+                buffer.filled(count)
+                progress += count
+                for frame in frames(buffer):
+                    progress = LEAST_PROGRESS
+                    if not self._follower.take(frame, sink):
+                        return f"a gap before {frame.number}"
+                if progress >= LEAST_PROGRESS:
+                    progress = 0
+                    quiet.deadline = trio.current_time() + QUIET
+        return "silent"
