--- a/stonecove/choice.py
+++ b/stonecove/choice.py
@@ -15,9 +15,10 @@
 from functools import lru_cache, partial
 from typing import Any
 
-from stonecove.interface import (Action, Cancel, ClassSettings, Due, Effect, Ended, Event, Fail, Get, How,
-                                 KeyGroup, Left, Listed, ListKind, Log, Node, NodeId, NodeState, Note,
-                                 Outcome, Purged, Refuse, Request, Settings, Timer, Watch)
+from stonecove import rules
+from stonecove.interface import (Action, Cancel, ClassSettings, Due, Ended, Event, Fail, Get, How, Left,
+                                 Listed, ListKind, Log, Node, NodeId, NodeState, Note, Outcome, Purged,
+                                 Refuse, Request, Settings, Timer, Watch)
 
 # The design's open values.
 TOP_SHARE = 0.9  # P_th: the top set is the most popular objects whose summed share first reaches it
@@ -52,7 +53,6 @@
 NEVER = (-math.inf, -math.inf)
 
 _MASK = (1 << 64) - 1
-_RAN_NOT = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
 _UNSEEN = frozenset((Outcome.CONNECT_FAILED, Outcome.MOOT))
 _SOURCE_NOTES = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_BROKE, Note.SOURCE_LACKS))
 
@@ -403,7 +403,7 @@
     def begin_by(self) -> float:
         """Danger: a repeat that waits for a connection until the window of its class has passed."""
         first = self.first_run()
-        return first.sent + self.cls.window if first and self.cls.effect is Effect.KEYED else math.inf
+        return rules.repeat_until(self.cls, first.sent if first else None)
 
     def pending(self) -> int:
         return sum(attempt.pending for attempt in self.attempts)
@@ -641,16 +641,8 @@
         if held.pending() and not self._set.second_copies:
             return False
         first = held.first_run()
-        if held.cls.effect is Effect.SAFE or first is None:
-            return True
-        if held.cls.effect is Effect.UNSAFE or now >= held.begin_by():
-            return False
-        other = self._listed.get(first.node)
-        if held.cls.group is KeyGroup.ALL:
-            return True
-        if other is None:
-            return cache.node == first.node
-        return cache.zone == other.zone if held.cls.group is KeyGroup.ZONE else cache.cell == other.cell
+        node, sent = (first.node, first.sent) if first else (None, None)
+        return rules.may_repeat(held.cls, now, node, sent, cache, self._listed)
 
     def _copy_wanted(self, now: float, held: Held) -> tuple[float, int]:
         """The oldest copy that will do, and how to fill. A repeat, or one to spare the origin, takes old."""
@@ -694,7 +686,7 @@
                 self._hedges = min(HEDGE_BURST, self._hedges + 1.0)  # the copy was needed
             self._close(held)
             return
-        attempt.may_have_run = event.outcome not in _RAN_NOT
+        attempt.may_have_run = event.outcome not in rules.PROVES_NOT_RUN
         held.missed |= event.outcome is Outcome.MISS
         # What no cache has seen adds no work when it is tried again; a break is made good once a request.
         free = event.outcome in _UNSEEN or (event.outcome is Outcome.RESET and len(held.attempts) == 1)
@@ -833,9 +825,8 @@
 
     def _give_up(self, held: Held) -> None:
         """The final answer of this director: refused where a retry is surely harmless, else failed."""
-        harmless = held.cls.effect is Effect.SAFE or not any(a.may_have_run for a in held.attempts) or (
-            held.cls.effect is Effect.KEYED and held.cls.group is KeyGroup.ALL)
-        if harmless:  # danger: refused clients that come back all together
+        may_have_run = any(attempt.may_have_run for attempt in held.attempts)
+        if rules.may_refuse(held.cls, may_have_run):  # danger: refused clients that all come back together
             pause = self._set.longest_pause * self._random.uniform(0.5, 1.0) if self._set.may_pause else 0.0
             self._out.append(Refuse(held.request.req, pause, held.why))
         else:
--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -39,6 +39,7 @@
     route.Route: (
         "_undecided",
         {
+            "_settings": FIXED,
             "_clock": WIRING,
             "_timers": WIRING,
             "_director": WIRING,
@@ -72,7 +73,14 @@
     ),
     Book: (
         "",
-        {"_clock": WIRING, "_admit": WIRING, "_post": WIRING, "counts": SAID, "_waited": SAID},
+        {
+            "_clock": WIRING,
+            "_admit": WIRING,
+            "_post": WIRING,
+            "counts": SAID,
+            "check": SAID,
+            "_waited": SAID,
+        },
     ),
     relay.Relay: (
         "",
@@ -107,7 +115,7 @@
         {"req": "numbers are told by place"},
     ),
     requests.Attempt: (
-        "number order ordered_at written_at outdated ended moved alarm",
+        "number order ordered_at written_at outdated ended moved alarm outcome",
         {"request": WIRING},
     ),
     nodes.NodeTable: ("_members", {"_starts": "peers and router share one clock here"}),
@@ -331,6 +339,7 @@
             attempt.ended,
             attempt.moved,
             self.alarm(attempt.alarm),
+            -1 if attempt.outcome is None else int(attempt.outcome),
         )
 
     def link(self, link: send.Link) -> tuple[Any, ...]:
--- a/stonecove/explore/seeds.py
+++ b/stonecove/explore/seeds.py
@@ -12,7 +12,7 @@
 import textwrap
 from typing import Any, NamedTuple
 
-from stonecove import choice
+from stonecove import choice, rules
 from stonecove.memory import nodes, requests
 from stonecove.stages import admit, book, relay, route, send
 from stonecove.wire import changelog, channel, fastcgi, resp, session
@@ -90,19 +90,19 @@
     ),
     Seed(
         "target-not-looked-at",
-        send.Send,
-        "may_go",
-        "not self._nodes.ready(order.node) or",
-        "",
+        rules,
+        "denial",
+        "if not sending.node_ready:",
+        "if False:",
         ("drain",),
         "no-drained",
     ),
     Seed(
         "source-not-looked-at",
-        send.Send,
-        "may_go",
-        "order.source != order.node and not self._nodes.ready(order.source)",
-        "False",
+        rules,
+        "denial",
+        "if not sending.source_ready:",
+        "if False:",
         ("drain",),
         "no-drained-source",
     ),
@@ -370,27 +370,27 @@
     ),
     Seed(
         "repeat-whatever-class",
-        choice.Director,
-        "_may_repeat",
-        "if held.cls.effect is Effect.SAFE or first is None:",
+        rules,
+        "may_repeat",
+        "if cls.effect is Effect.SAFE or first_node is None:",
         "if True:",
         ("confirm", "keyed"),
         "no-repeat",
     ),
     Seed(
         "window-forgotten",
-        choice.Held,
-        "begin_by",
-        "first.sent + self.cls.window",
+        rules,
+        "repeat_until",
+        "first_sent + cls.window",
         "math.inf",
         ("keyed",),
         "no-repeat",
     ),
     Seed(
         "group-forgotten",
-        choice.Director,
-        "_may_repeat",
-        "cache.cell == other.cell",
+        rules,
+        "may_repeat",
+        "candidate.cell == first.cell",
         "True",
         ("keyed",),
         "no-repeat",
@@ -406,10 +406,10 @@
     ),
     Seed(
         "refused-though-it-may-have-run",
-        choice.Director,
-        "_give_up",
-        "harmless = held.cls.effect is Effect.SAFE or",
-        "harmless = True or",
+        rules,
+        "may_refuse",
+        "if cls.effect is Effect.SAFE or not may_have_run:",
+        "if True:",
         ("confirm",),
         "harmless-refusal",
     ),
--- a/stonecove/memory/requests.py
+++ b/stonecove/memory/requests.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from stonecove.interface import Get
+from stonecove.interface import Get, Outcome
+from stonecove.rules import PROVES_NOT_RUN
 from stonecove.ground.timers import Alarm
 from stonecove.exchange import Asked
 
@@ -23,6 +24,11 @@
     ended: bool = False
     moved: bool = False  # it has been put on another connection
     alarm: Alarm | None = None
+    outcome: Outcome | None = None  # once it has ended
+
+    def may_have_run(self) -> bool:
+        """Whether it was sent and nothing proves that it did not run."""
+        return self.written_at > 0 and self.outcome not in PROVES_NOT_RUN
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/stonecove/rules.py
@@ -0,0 +1,86 @@
+"""What may be sent, repeated, refused and passed on: the rules of the pages, each as one plain function.
+
+The decisions (`choice.py`), the last look before an attempt (`stages/send.py`), the end of a request without
+a decision (`stages/route.py`) and the run-time check (`stages/rule_check.py`) all ask here, so that no two of
+them can differ. Sources: WIRE, 'Invariants'; PROTOCOL, 'The rules on sockets'; STANDING.
+Times are milliseconds of the caller's clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from stonecove.interface import ClassSettings, Effect, KeyGroup, Node, NodeId, Outcome
+
+PROVES_NOT_RUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
+
+
+class Denial(StrEnum):
+    """Why an attempt may not be sent."""
+
+    ANSWERED = "answered"  # its request has its final answer, or its client has left
+    PURGED = "purged"  # a purge came after it was ordered
+    WINDOW_OVER = "window-over"  # a repeat would be none any more
+    NODE_NOT_READY = "node-not-ready"  # it drains or is gone
+    SOURCE_NOT_READY = "source-not-ready"
+
+
+@dataclass(frozen=True, slots=True)
+class Sending:
+    """What is known of an attempt right before its first byte."""
+
+    answered: bool
+    purged: bool
+    begin_by: float
+    node_ready: bool
+    source_ready: bool
+
+
+def denial(sending: Sending, now: float) -> Denial | None:
+    """Why the attempt may not be sent now; None if it may."""
+    if sending.answered:
+        return Denial.ANSWERED
+    if sending.purged:
+        return Denial.PURGED
+    if now >= sending.begin_by:
+        return Denial.WINDOW_OVER
+    if not sending.node_ready:
+        return Denial.NODE_NOT_READY
+    if not sending.source_ready:
+        return Denial.SOURCE_NOT_READY
+    return None
+
+
+def repeat_until(cls: ClassSettings, first_sent: float | None) -> float:
+    """The moment by which a repeat has to begin, after a first attempt that was sent then."""
+    if first_sent is None or cls.effect is not Effect.KEYED:
+        return math.inf
+    return first_sent + cls.window
+
+
+def may_repeat(cls: ClassSettings, now: float, first_node: NodeId | None, first_sent: float | None,
+               candidate: Node, listed: Mapping[NodeId, Node]) -> bool:
+    """Whether an attempt may go to the candidate, the first that may have run having gone to that node.
+
+    Without such a first attempt it always may. A node that is listed no more is in no group but its own.
+    """
+    if cls.effect is Effect.SAFE or first_node is None:
+        return True
+    if cls.effect is Effect.UNSAFE or now >= repeat_until(cls, first_sent):
+        return False
+    if cls.group is KeyGroup.ALL:
+        return True
+    first = listed.get(first_node)
+    if first is None:
+        return candidate.node == first_node
+    return candidate.zone == first.zone if cls.group is KeyGroup.ZONE else candidate.cell == first.cell
+
+
+def may_refuse(cls: ClassSettings, may_have_run: bool) -> bool:
+    """Whether a refusal, which promises that a retry does no harm, is true of such a request."""
+    if cls.effect is Effect.SAFE or not may_have_run:
+        return True
+    return cls.effect is Effect.KEYED and cls.group is KeyGroup.ALL
--- a/stonecove/stages/book.py
+++ b/stonecove/stages/book.py
@@ -5,11 +5,12 @@
 from collections import Counter
 from collections.abc import Callable
 
-from stonecove.interface import Ended, Event, Note, Outcome
+from stonecove.interface import Ended, Event, Note, Outcome, Settings
 from stonecove.ground.clock import Clock
 from stonecove.ground.log import log, log_some
 from stonecove.memory.requests import Attempt, OpenRequest
 from stonecove.stages.admit import Admit
+from stonecove.stages.rule_check import RuleCheck
 
 TOLD = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET, Outcome.ERROR)
 
@@ -17,11 +18,12 @@
 class Book:
     """Tells the decisions of every end, exactly once."""
 
-    def __init__(self, clock: Clock, admit: Admit, post: Callable[[Event], None]) -> None:
+    def __init__(self, settings: Settings, clock: Clock, admit: Admit, post: Callable[[Event], None]) -> None:
         self._clock = clock
         self._admit = admit
         self._post = post
         self.counts: Counter[str] = Counter()
+        self.check = RuleCheck(settings, self.counts)
         self._waited = 0.0  # the longest that a request waited for its decision, in ms
 
     def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, waited: float = 0.0,
@@ -30,6 +32,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.outcome = outcome
         if attempt.alarm is not None:
             attempt.alarm.off()
         self.counts[outcome.name.lower()] += 1
@@ -38,9 +41,9 @@
         request, order = attempt.request, attempt.order
         took = self._clock.now() - (attempt.written_at or attempt.ordered_at)
         if outcome in TOLD:
-            log_some("attempt-failed", outcome=outcome.name.lower(), node=f"s-{order.node:08x}",
-                     source=f"s-{order.source:08x}", cls=request.asked.cls, kb=request.asked.size,
-                     note=note, took=took, attempt=attempt.number)
+            log_some("attempt-failed", req=request.asked.txn, outcome=outcome.name.lower(),
+                     node=f"s-{order.node:08x}", source=f"s-{order.source:08x}", cls=request.asked.cls,
+                     kb=request.asked.size, note=note, took=took, attempt=attempt.number)
         self._post(Ended(request.req, attempt.number, order.node, outcome, took, request.answered, note,
                          waited, load))
         self.close_if_over(request)
@@ -50,6 +53,7 @@
         if request.answered and all(attempt.ended for attempt in request.attempts):
             if request.backstop is not None:
                 request.backstop.off()
+            self.check.closed(request)
             self._admit.leave(request)
 
     def waited(self, time: float) -> None:
--- a/stonecove/stages/relay.py
+++ b/stonecove/stages/relay.py
@@ -55,6 +55,7 @@
         """The final answer; only the first counts."""
         if request.answered:
             return
+        self._book.check.answered(request, answer.verdict, self._clock.now())
         request.answered = True
         self._book.counts[answer.verdict.value] += 1
         request.asked.reply(answer)
@@ -91,7 +92,7 @@
         if outcome is Outcome.OK and note is Note.FILLED_BY_ORIGIN and born:
             self._peer_time.given_out(born, attempt.written_at, self._clock.now())
         if outcome is Outcome.OK and (wrong := self._wrong(attempt, reply)):
-            log_some("bad-copy", node=f"s-{attempt.order.node:08x}", why=wrong)
+            log_some("bad-copy", req=attempt.request.asked.txn, node=f"s-{attempt.order.node:08x}", why=wrong)
             outcome = Outcome.ERROR
         if outcome is Outcome.OK:
             verdict = Verdict.UNCHANGED if reply.word == "304" else Verdict.SERVED
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -8,13 +8,14 @@
 from functools import partial
 from typing import Any
 
+from stonecove import rules
 from stonecove.choice import PURGE_MARGIN, Director
 from stonecove.interface import (Cancel, Due, Event, Fail, Get, Left, Listed, ListKind, Log, Node, Outcome,
                                  Purged, Refuse, Request, Settings, Timer)
 from stonecove.ground.clock import Clock
 from stonecove.ground.peer_time import PeerTime
 from stonecove.ground.timers import Timers, nobody
-from stonecove.ground.log import log
+from stonecove.ground.log import log, log_some
 from stonecove.membership import MembersTold, PurgeTold, Told
 from stonecove.memory.budget import Budget
 from stonecove.memory.nodes import NodeTable
@@ -37,6 +38,7 @@
     def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers, budget: Budget,
                  pace: float, connect: Connect, wake: Callable[[], None] = nobody) -> None:
         """`connect` opens connections to caches; `wake` is called when a request waits to be decided."""
+        self._settings = settings
         self._clock, self._timers = clock, timers
         self._director = Director(settings, seed)
         self._events: deque[Event] = deque()
@@ -46,7 +48,7 @@
         self.admit = Admit(settings, self.requests, budget, pace, seed)
         self._undecided: deque[tuple[float, OpenRequest]] = deque()  # with the time at which each came
         self._wake = wake
-        self.book = Book(clock, self.admit, self.post)
+        self.book = Book(settings, clock, self.admit, self.post)
         self.peer_time = PeerTime(clock)
         self.purges = ToldPurges(settings.purge_done * PURGE_MARGIN + settings.purge_grace)
         self.relay = Relay(settings, self.book, clock, self.peer_time, self.purges)
@@ -88,6 +90,7 @@
         self.book.waited(now - came)
         if why := self.admit.too_much(now, came, asked.kind):
             self.book.counts[f"shed_{why}"] += 1
+            log_some("refused", req=asked.txn, why=f"shed_{why}", waited=now - came)
             self.relay.answer(request, Answer(Verdict.REFUSED, pause=self.admit.pause()))
         else:
             self.post(Request(request.req, asked.kind, asked.key, request.deadline - now, asked.size,
@@ -102,6 +105,13 @@
                 if not attempt.written_at:
                     self.send.may_go(attempt)
 
+    def undecided_answer(self, request: OpenRequest) -> Answer:
+        """The final answer to a request that ends without a decision: refused if that is surely harmless."""
+        may_have_run = any(attempt.may_have_run() for attempt in request.attempts)
+        if rules.may_refuse(self._settings.classes[request.asked.kind], may_have_run):
+            return Answer(Verdict.REFUSED, pause=self.admit.pause())
+        return Answer(Verdict.FAILED)
+
     def told(self, event: Told) -> None:
         """News of nodes or a purge. What waits to be written is looked at again, once the module knows."""
         waiting = self.requests.waiting()
@@ -196,6 +206,7 @@
     def _refuse(self, act: Refuse) -> None:
         if request := self.requests.get(act.req):
             self.book.counts[f"refused_{act.why}"] += 1
+            log_some("refused", req=request.asked.txn, why=act.why, attempts=len(request.attempts))
             self.relay.answer(request, Answer(Verdict.REFUSED, pause=act.pause))
 
     def _fail(self, act: Fail) -> None:
@@ -219,8 +230,7 @@
         """Guards against a request that nobody answers."""
         if not request.answered:
             log("backstop", req=request.asked.txn)
-            never_sent = Answer(Verdict.REFUSED, pause=self.admit.pause())
-            self.relay.answer(request, Answer(Verdict.FAILED) if request.attempts else never_sent)
+            self.relay.answer(request, self.undecided_answer(request))
             self.post(Left(request.req))
         for attempt in request.attempts:
             if not attempt.ended:
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from stonecove import rules
 from stonecove.interface import Get, How, NodeId, Outcome, Settings
 from stonecove.ground.clock import Clock
 from stonecove.ground.timers import Timers
@@ -150,7 +151,8 @@
             return
         link = self._link(order.node, attempt.request.asked.txn, self._clock.now())
         if link is None:  # our own lack, which says nothing of the cache
-            log_some("no-connection", node=f"s-{order.node:08x}", links=self.links())
+            log_some("no-connection", req=attempt.request.asked.txn, node=f"s-{order.node:08x}",
+                     links=self.links())
             self._book.ended(attempt, Outcome.MOOT)
             return
         link.open[attempt.request.asked.txn] = attempt
@@ -195,15 +197,22 @@
         Guards against drains, ends and purges that were told after the order, a window that has passed, and
         work for a client that has left or has its answer, also where the settings allow no cancelling.
         """
-        order: Get = attempt.order
         if attempt.ended:
             return False
-        over = attempt.request.answered or attempt.outdated or self._clock.now() >= order.begin_by
-        if over or not self._nodes.ready(order.node) or (
-                order.source != order.node and not self._nodes.ready(order.source)):
+        denied = rules.denial(self._sending(attempt), self._clock.now())
+        if denied is not None:
+            self._book.counts[f"denied_{denied.value}"] += 1
+            log_some("attempt-denied", req=attempt.request.asked.txn, why=denied.value,
+                     node=f"s-{attempt.order.node:08x}", attempt=attempt.number)
             self._finish(attempt, Outcome.MOOT)
-            return False
-        return True
+        return denied is None
+
+    def _sending(self, attempt: Attempt) -> rules.Sending:
+        order: Get = attempt.order
+        return rules.Sending(
+            answered=attempt.request.answered, purged=attempt.outdated, begin_by=order.begin_by,
+            node_ready=self._nodes.ready(order.node),
+            source_ready=order.source == order.node or self._nodes.ready(order.source))
 
     def begin(self, attempt: Attempt) -> bytes | None:
         """The bytes of an attempt whose first byte is about to be written; None if it can't go.
@@ -213,7 +222,10 @@
         attempt.request.asked.look()
         if not self.may_go(attempt):
             return None
-        now = self._clock.now()
+        now, order = self._clock.now(), attempt.order
+        listed = self._nodes.ready(order.node) and (
+            order.source == order.node or self._nodes.ready(order.source))
+        self._book.check.sending(attempt, now, listed)
         attempt.written_at = now
         return command(attempt, now)
 
@@ -232,8 +244,9 @@
         """The time of an attempt has run out; one that was never written surely did not run."""
         if link := self._where.get(attempt):
             now = self._clock.now()
-            log_some("attempt-late", node=f"s-{link.node:08x}", at=":".join(map(str, link.address)),
-                     up=link.connection.up, opened_ms=now - link.opened_at, heard_ms=now - link.heard_at,
+            log_some("attempt-late", req=attempt.request.asked.txn, node=f"s-{link.node:08x}",
+                     at=":".join(map(str, link.address)), up=link.connection.up,
+                     opened_ms=now - link.opened_at, heard_ms=now - link.heard_at,
                      written_ms=now - attempt.written_at if attempt.written_at else -1.0, open=len(link.open))
         self.cancel(attempt, Outcome.TIMEOUT if attempt.written_at else Outcome.CONNECT_FAILED)
 
--- a/stonecove/wire/front.py
+++ b/stonecove/wire/front.py
@@ -92,3 +92,11 @@
         if request is not None:
             self._route.left(request)
             connection.end(ident, COMPLETE)
+
+    def gone(self, connection: Session, ident: int) -> None:
+        """The client sends no more. Nothing new goes out for it; if it still reads, it is owed an answer."""
+        request = self._open.pop((connection, ident), None)
+        if request is not None:
+            answer = self._route.undecided_answer(request)
+            self._route.left(request)
+            connection.answer(ident, head_of(answer), answer.body)
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -35,7 +35,10 @@
         """
 
     def aborted(self, connection: Session, ident: int) -> None:
-        """The client has left this request, or with it the whole connection."""
+        """The client has left this request."""
+
+    def gone(self, connection: Session, ident: int) -> None:
+        """The client sends no more: it has closed the connection, or its half of it."""
 
 
 class Session:
@@ -105,14 +108,14 @@
     def ended(self) -> None:
         """The connection is over; to be called once, as the last."""
         self._decoder.close()
+        self._left()
         self._budget.give(self._unsent)
         self._unsent = 0
-        self._left()
 
     def _left(self) -> None:
-        """The client wants none of what is open."""
+        """The client sends no more."""
         for ident in sorted(self._decoder.open):
-            self._handler.aborted(self, ident)
+            self._handler.gone(self, ident)
 
     # -- for those who use it --
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -81,6 +81,9 @@
     def aborted(self, connection: Session, ident: int) -> None:
         """Nothing is out."""
 
+    def gone(self, connection: Session, ident: int) -> None:
+        """Nothing is out."""
+
 
 def connections_to(hanging: Hanging) -> int:
     """How many connections the router has under way there; two more are the fillers."""
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -27,6 +27,7 @@
 FLOORS = {
     "": 0,
     "interface": 0,
+    "rules": 0,
     "ground": 0,
     "exchange": 1,
     "settings": 1,
