Add a randomized fault soak on real processes, with an oracle outside the router

stonecove soak plays 1 to 20 routers and 2 to 20 caches as real processes on loopback behind a fault proxy, with clients, a change log each, and 22 kinds of trouble that overlap, drawn from a seed: hangs, kills, resets, partitions, slow and late connections, spoilt answers, drains, purges, quiet, broken, slow and moved change logs, reloads in a row, planned restarts, crashes, bursts, bad clients, frozen processes; beside that the router's own clock steps and its system calls fail or are short. The oracle sees only sockets, process ends and logs; it knows 15 rules and is tested with a planted violation of each but slow-start, repeated-late and processes' missing ends.

--- a/stonecove/commands/main.py
+++ b/stonecove/commands/main.py
@@ -1,4 +1,4 @@
-"""`stonecove`: the router itself, the explorer and the demonstration."""
+"""`stonecove`: the router itself, the explorer, the fault soak and the demonstration."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import click
 
 from stonecove.commands.explore import explore
+from stonecove.commands.soak import soak
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -38,6 +39,7 @@
 
 
 cli.add_command(explore)
+cli.add_command(soak)
 
 
 def main() -> None:
