Show that a gap in the change log is taken without asking for what was in it

Suspicion: Follower._accept_gap takes the second jump to the same number; a drain or a purge in the gap stays unknown for good.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -703,6 +703,17 @@
     stand.wait(lambda: len(stand.lines("node")) == 5, "the next event")
 
 
+def test_a_gap_that_stays_is_closed_by_the_whole_list(stand: Stand) -> None:
+    """What was in the gap, as a drain or a purge, must not stay unknown."""
+    for _ in range(2):  # the log no longer has event 2
+        assert stand.log.since.get(timeout=PATIENCE) == 1
+        stand.log.tell(3, 4, struct.pack(">HQ", 40, 1))
+    assert stand.log.since.get(timeout=PATIENCE) == 0
+    nodes = b"".join(stand.record(cache, state) for cache, state in zip(stand.caches, (1, 0), strict=True))
+    stand.log.tell(3, 1, nodes)
+    stand.wait(lambda: len(stand.lines("node")) == 6, "the whole list")
+
+
 @pytest.mark.parametrize("news", ["drain", "source", "purge"])
 def test_what_waits_for_a_connection_is_looked_at_again(news: str) -> None:
     """Guards against sending by a decision that was overtaken while the connection came up."""
