Ask for the whole list when events of the change log are missing for good

Cause: Follower._accept_gap went on with an event after the second jump to its number, and with it over whatever the gap held. Change: the second time all events are asked for, whose first carries the whole list; only a log that doesn't have those either is followed from where it begins. A whole list needs no events before it.

Measured: test_a_gap_that_stays_is_closed_by_the_whole_list failed before, listed, and passes; the six other tests of gaps and of the change log pass.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -565,6 +565,7 @@
             world.log_skips,
             behind,
             world.follower._jumped - world.follower.last,
+            world.follower._from_start,
             tuple(world.log[world.follower.last :]),
             world.log[-1][13:] if "repeat" in world.scope.kinds else b"",
         )
--- a/stonecove/wire/changelog.py
+++ b/stonecove/wire/changelog.py
@@ -81,6 +81,7 @@
     def __init__(self, last: int) -> None:
         self.last = last  # number of the last event that was taken in
         self._jumped = 0  # number of the event that last came too early
+        self._from_start = False  # all events are asked for, as some were missing for good
 
     def hello(self) -> bytes:
         """The first bytes on a connection: later events than the last are wanted."""
@@ -92,8 +93,9 @@
             return True
         if frame.number <= self.last:
             return True
-        if frame.number > self.last + 1 and not self._accept_gap(frame.number):
+        if frame.number > self.last + 1 and frame.kind != WHOLE and not self._accept_gap(frame.number):
             return False
+        self._from_start = False
         event = _event(frame)
         self.last = frame.number
         if event is not None:
@@ -101,9 +103,18 @@
         return True
 
     def _accept_gap(self, number: int) -> bool:
-        """Guards against asking for good for events that the log no longer has: the second time it is so."""
+        """Whether to go on with an event although some before it are missing.
+
+        Guards against asking for good for events that the log no longer has. The second time that they are
+        missing, all events are asked for, and with them the whole list: what the gap held, as a drain or a
+        purge, must not stay unknown. A log that has not even those is followed from where it begins.
+        """
+        if self._from_start:
+            return True
         again, self._jumped = number == self._jumped, number
-        return again
+        if again:
+            self.last, self._from_start = 0, True
+        return False
 
 
 def _place(names: Sequence[str], name: str) -> int:
