--- a/stonecove/soak/discovery.py
+++ b/stonecove/soak/discovery.py
@@ -26,6 +26,7 @@
         self.slow_until = 0.0
         self.recent_purges: list[Told] = []
         self._generation = 0  # of the address at which it is followed
+        self._written_to: dict[trio.SocketStream, int] = {}  # number of the last event written there
         self._seen = seen
         self._events: list[bytes] = [frame(1, WHOLE, b"".join(node.encode() for node in nodes))]
         self._told: list[Told | None] = [None]
@@ -63,6 +64,10 @@
         """The number of the last event."""
         return len(self._events)
 
+    def followed(self) -> bool:
+        """Whether somebody is connected at the present address and was told all events."""
+        return self.last() in self._written_to.values()
+
     def restart(self) -> None:
         """The router starts anew: its numbers begin again with the list as it stands, told with its start."""
         now = time.monotonic()
@@ -97,11 +102,13 @@
                     return
                 hello += chunk
             await self._tell(stream, struct.unpack(">Q", hello)[0])
+            self._written_to.pop(stream, None)
             await trio.sleep(MOVED_CLOSES_AFTER)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         finally:
             self._streams.discard(stream)
+            self._written_to.pop(stream, None)
             await trio.aclose_forcefully(stream)
 
     async def _tell(self, stream: trio.SocketStream, last: int) -> None:
@@ -110,13 +117,14 @@
             changed = self._changed
             while time.monotonic() < self.quiet_until:
                 await trio.sleep(0.02)
-            while last < len(self._events):
+            while last < len(self._events) and generation == self._generation:
                 await self._send(stream, self._events[last])
                 if told := self._told[last]:
                     if not told.at:
                         self._seen.told.append(told)
                     told.at = told.at or time.monotonic()
                 last += 1
+            self._written_to[stream] = last
             with trio.move_on_after(1.0) as waiting:
                 await changed.wait()
             quiet = generation != self._generation or time.monotonic() < self.quiet_until
--- a/stonecove/soak/harness.py
+++ b/stonecove/soak/harness.py
@@ -104,6 +104,7 @@
                 troubles.start_soon(self._trouble, step)
         end = self._start + self.scenario.seconds
         await trio.sleep(max(0.0, end + SETTLE - time.monotonic()))
+        self.seen.not_following += [seat.name for seat in self._routers if not seat.log.followed()]
         async with trio.open_nursery() as stops:
             for seat in self._routers:
                 stops.start_soon(self._terminate, seat)
--- a/stonecove/soak/observations.py
+++ b/stonecove/soak/observations.py
@@ -127,6 +127,7 @@
     answered: list[Answered] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
     lives: list[RouterLife] = field(default_factory=list)
+    not_following: list[str] = field(default_factory=list)  # routers behind their change log at the end
     lateness: float = 0.0  # the most by which the harness itself ran late, in seconds
 
     def add(self, found: Begun | Fetched | Answered) -> None:
--- a/stonecove/soak/oracle.py
+++ b/stonecove/soak/oracle.py
@@ -232,9 +232,15 @@
             yield Violation("log", life.router, "-", life.log[life.log.index("Traceback"):][-600:])
 
 
+def discovery(evidence: Evidence) -> Iterator[Violation]:
+    """Each router follows its change log to its end, wherever it moved."""
+    for router in evidence.seen.not_following:
+        yield Violation("discovery", router, "-", "has not come to the end of its change log")
+
+
 RULES: tuple[Callable[[Evidence], Iterator[Violation]], ...] = (
     lost, answered_well, begun_too_late, deadline_passed_on, repeated, drained, purged, overloaded_cold,
-    processes)
+    processes, discovery)
 
 
 def judge(seen: Observations, scenario: Scenario) -> list[Violation]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,7 @@
     ("purge", lambda seen: seen.told.append(Told(8.0, "n0", item=ITEM, purged_unix_ms=5001))),
     ("crash", lambda seen: setattr(seen.lives[0], "exit_code", 1)),
     ("slow-to-ready", lambda seen: setattr(seen.lives[0], "ready_at", 11.0)),
+    ("discovery", lambda seen: seen.not_following.append("n0")),
     ("log", lambda seen: setattr(seen.lives[0], "log", "1.0 bug where=here"))]
 
 
