--- a/tests/test_unread_input.py
+++ b/tests/test_unread_input.py
@@ -11,11 +11,13 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
 
 from stand import SETTINGS, Client, Fetch, Stand, record
+from stonecove.soak.plan import Call, Fault
 
 EXCESS = 150  # ms by which the limit passed on may exceed what the client has left
 UNREAD = 0.6  # seconds
@@ -126,3 +128,23 @@
     stand.command()
     client.sock.shutdown(socket.SHUT_WR)
     assert client.answer().status in (200, 502, 503)
+
+
+def test_of_requests_on_a_connection_that_waited_to_be_accepted_the_oldest_counts(
+        start: Callable[..., Stand], tmp_path: Path) -> None:
+    """Accepting fails for a while, as without descriptors; meanwhile one connection gets one request more."""
+    flag = tmp_path / "no-buffers"
+    stand = start(faults=[Fault(Call.ACCEPT, "ENOBUFS", flag=str(flag))])
+    flag.touch()
+    time.sleep(0.1)
+    client, sent = stand.client(), {}
+    for ident in (1, 2, 3):
+        client.send(ident, X_TXN=f"{ident:016x}", X_TTL_MS="3000")
+        sent[f"{ident:016x}"] = time.monotonic()
+        time.sleep(0.2)
+    flag.unlink()
+    found = fetches(stand, 3)
+    assert len(found) == 3
+    for fetch in found:
+        left = 3000 - (time.monotonic() - sent[fetch.txn]) * 1000
+        assert int(fetch.fields["limit"]) <= left + EXCESS
