Take the age of a connection and of long turns into account for what waited unread

Cause: the kernel tells the age of the last bytes alone, and the watch knew only a poll that came back late. Several requests on a connection that waited to be accepted, and those read in the turns after a long one, kept their time. And a request whose time was over before its decision was logged as a slip of the module ('backstop').

Change: age_at_accept tells for how long a connection waited; a long turn counts as standing still, for reads within 0.2 s after it. The last request of a read keeps the kernel's exact figure, so a request that came alone is not cut short. What is over before its decision is counted as refused_over.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -156,6 +156,8 @@
             "_budget": WIRING,
             "last_used": "read by the check of idle clients, which is not played here",
             "unread_for": "what comes is read at once here",
+            "_unread_most": "what comes is read at once here",
+            "_unread_last": "what comes is read at once here",
         },
     ),
     fastcgi.Decoder: ("_taking open turned_away keep", {"_budget": WIRING, "_clock": WIRING}),
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -31,7 +31,7 @@
 from stonecove.wire.connection import Connection
 from stonecove.wire.follow import ChangeLog
 from stonecove.wire.front import Front
-from stonecove.wire.unread import PollWatch
+from stonecove.wire.unread import PollWatch, age_at_accept
 
 GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
@@ -294,7 +294,7 @@
         """Accepts a connection; it counts from now on, not from when its task first runs."""
         sock, _ = listener.accept()
         sock.setblocking(False)
-        client = Client(sock, self._front, self._clock.now, self._budget, self._polls)
+        client = Client(sock, self._front, self._clock.now, self._budget, self._polls, age_at_accept(sock))
         self._clients.add(client)
         self._spawn(partial(self._serve, sock, client))
 
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -229,7 +229,11 @@
     def _backstop(self, request: OpenRequest) -> None:
         """Guards against a request that nobody answers."""
         if not request.answered:
-            log("backstop", req=request.asked.txn)
+            if request.attempts:
+                log("backstop", req=request.asked.txn)
+            else:
+                self.book.counts["refused_over"] += 1
+                log_some("refused", req=request.asked.txn, why="its time was over before its decision")
             self.relay.answer(request, self.undecided_answer(request))
             self.post(Left(request.req))
         for attempt in request.attempts:
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -13,7 +13,7 @@
 from stonecove.wire.buffer import BufferFullError
 from stonecove.wire.fastcgi import FastCgiError
 from stonecove.wire.session import GULP, Handler, Session
-from stonecove.wire.unread import PollWatch, last_received_ago
+from stonecove.wire.unread import STILL_UNREAD, PollWatch, last_received_ago
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 STALL = 10.0  # seconds for which a client may take in nothing
@@ -23,11 +23,16 @@
     """A session on a plain non-blocking socket."""
 
     def __init__(self, sock: socket.socket, handler: Handler, clock: Callable[[], float],
-                 budget: Budget, polls: PollWatch | None = None) -> None:
-        """`polls` tells how long input may have waited; without it, only what the kernel knows counts."""
+                 budget: Budget, polls: PollWatch | None = None, waited: float = 0.0) -> None:
+        """`polls` tells how long input may have waited; without it, only what the kernel knows counts.
+
+        `waited`: milliseconds for which the connection waited to be accepted.
+        """
         super().__init__(sock, handler, clock, budget)
         self._sock: socket.socket = sock
         self._polls = polls
+        self._waited = waited
+        self._accepted_at = clock()
         self._receiving = False
         self._room_wanted = trio.Event()
         self._scope = trio.CancelScope()
@@ -110,6 +115,7 @@
     def _receive(self) -> int | None:
         """Reads once and works off what came; its count, 0 at the end, None if there is nothing now."""
         with self._buffer.room() as view:
+            room = len(view)
             try:
                 count = self._sock.recv_into(view)
             except BlockingIOError:
@@ -120,8 +126,7 @@
                 raise
         if count:
             self._buffer.filled(count)
-            received_ago = last_received_ago(self._sock)
-            self.unread_for = self._polls.unread_for(received_ago) if self._polls else received_ago
+            self._note_unread(count == room)
             self._receiving = True
             try:
                 self.received()
@@ -129,6 +134,16 @@
                 self._receiving = False
         return count
 
+    def _note_unread(self, more: bool) -> None:
+        """Notes how long what was just read may have waited; `more`: there may be more to read."""
+        received_ago = last_received_ago(self._sock)
+        most = self._polls.unread_for(received_ago) if self._polls else received_ago or 0.0
+        since_accepted = self._clock() - self._accepted_at
+        if self.mute and since_accepted < STILL_UNREAD * 1000.0:
+            most = max(most, self._waited + since_accepted)
+        self._unread_most = most
+        self._unread_last = most if more or received_ago is None else received_ago
+
     def look(self) -> None:
         """Reads what is there. The task that reads finds the end and what can't be read by itself."""
         if self._receiving or self._leaving or self._reading.cancel_called:
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -54,7 +54,9 @@
         self._leaving = ""  # why the connection ends once all that is open on it is answered
         self._partial_since = clock()  # when a record began to come in that is not whole; 0: there is none
         self.mute = True  # not a byte has come so far
-        self.unread_for = 0.0  # ms for which the bytes that came last may have waited to be read
+        self.unread_for = 0.0  # ms for which the request that is being handed on may have waited unread
+        self._unread_most = 0.0  # the same for all that came with the last bytes,
+        self._unread_last = 0.0  # and for the last of it
         self._urgent: deque[bytes] = deque()
         self._answers: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent = 0  # bytes of answers that wait to be written
@@ -194,6 +196,7 @@
 
     def _request(self, event: Arrived) -> None:
         """Hands a request on. Guards against one that is sent again whenever it is turned away."""
+        self.unread_for = self._unread_most if len(self._buffer) else self._unread_last
         if self._handler.request(self, *event):
             self._decoder.turned_away = 0
         else:
--- a/stonecove/wire/unread.py
+++ b/stonecove/wire/unread.py
@@ -13,20 +13,28 @@
 import trio
 
 AT_ONCE = 0.001  # seconds; a poll that takes less found something that was there before
-STILL_UNREAD = 0.05  # seconds after the process stood still for which what is read may have come meanwhile
-LATE = 0.02  # seconds by which a poll comes back late if the process stood still
-_INFO_SIZE = 104
-_LAST_RECEIVED = struct.Struct("=I")
-_LAST_RECEIVED_AT = 52  # of struct tcp_info: tcpi_last_data_recv, in milliseconds
+LATE = 0.02  # seconds by which a poll comes back late, or for which a turn lasts, if the process stood still
+STILL_UNREAD = 0.2  # seconds after the process stood still for which what is read may have come meanwhile
+_INFO = struct.Struct("=8x9I2I1I")  # the beginning of struct tcp_info
+_LAST_SENT, _LAST_RECEIVED = 9, 11  # tcpi_last_data_sent and tcpi_last_data_recv, in milliseconds
 
 
-def last_received_ago(sock: socket.socket) -> float:
-    """Milliseconds since the kernel took in the last bytes of a TCP connection; 0 where it doesn't tell."""
+def _info(sock: socket.socket, place: int) -> float | None:
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_SIZE)
-        return float(_LAST_RECEIVED.unpack_from(info, _LAST_RECEIVED_AT)[0])
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size)
+        return float(_INFO.unpack(info)[place])
     except (OSError, struct.error, AttributeError):
-        return 0.0
+        return None
+
+
+def last_received_ago(sock: socket.socket) -> float | None:
+    """Milliseconds since the kernel took in the last bytes of a connection; None where it doesn't tell."""
+    return _info(sock, _LAST_RECEIVED)
+
+
+def age_at_accept(sock: socket.socket) -> float:
+    """Milliseconds since a connection came up on which nothing was sent so far; 0 where none can tell."""
+    return _info(sock, _LAST_SENT) or 0.0
 
 
 class PollWatch(trio.abc.Instrument):
@@ -41,6 +49,8 @@
         """The loop is about to wait for input, for so many seconds at most."""
         self._timeout = timeout
         self._began = time.monotonic()
+        if self._began - self._ended > LATE:
+            self._stood_still = self._ended, self._began
 
     def after_io_wait(self, timeout: float) -> None:
         """Input, or the end of that time, has come."""
@@ -49,19 +59,19 @@
         if self._ended - self._began > self._timeout + LATE:
             self._stood_still = self._began, self._ended
 
-    def unread_for(self, received_ago: float) -> float:
-        """Milliseconds for which input that was found by the last poll may have waited.
+    def unread_for(self, received_ago: float | None) -> float:
+        """Milliseconds for which input that is read now may have waited, at the most.
 
-        `received_ago`: milliseconds since the last of it came, as the kernel tells; no less is returned.
+        `received_ago`: milliseconds since the last of it came, if the kernel tells; no less is returned.
         """
         now = time.monotonic()
         if self._ended - self._began < AT_ONCE:
             since = self._ended_before
-        elif received_ago > LATE * 1000.0:
+        elif received_ago is not None and received_ago > LATE * 1000.0:
             since = self._began
         else:
             since = self._ended
         began, found_out = self._stood_still
         if now < found_out + STILL_UNREAD:
             since = min(since, began)
-        return max(received_ago, (now - since) * 1000.0)
+        return max(received_ago or 0.0, (now - since) * 1000.0)
