--- a/tests/test_unread_input.py
+++ b/tests/test_unread_input.py
@@ -148,3 +148,14 @@
     for fetch in found:
         left = 3000 - (time.monotonic() - sent[fetch.txn]) * 1000
         assert int(fetch.fields["limit"]) <= left + EXCESS
+
+
+def test_a_request_whose_time_was_over_unread_is_refused_and_not_sent(start: Callable[..., Stand]) -> None:
+    stand = start()
+    client = stand.client()
+    assert client.ask(path="/status/live").status == 200
+    with stopped(stand):
+        client.send(X_TTL_MS="300")
+        time.sleep(UNREAD)
+    assert client.answer().status == 503
+    assert fetches(stand, 1) == []
