Refuse a request whose time is over instead of sending it on

Cause: Admit.enter gave every request at least 1 ms, also one whose client's time was over when it was read, and Send.begin did not look at the attempt's own end. Change: such a request is refused at the door (refused_over), and rules.denial knows TIME_OVER.

--- a/stonecove/rules.py
+++ b/stonecove/rules.py
@@ -23,6 +23,7 @@
 
     ANSWERED = "answered"  # its request has its final answer, or its client has left
     PURGED = "purged"  # a purge came after it was ordered
+    TIME_OVER = "time-over"  # nobody waits for its answer any more
     WINDOW_OVER = "window-over"  # a repeat would be none any more
     NODE_NOT_READY = "node-not-ready"  # it drains or is gone
     SOURCE_NOT_READY = "source-not-ready"
@@ -34,6 +35,7 @@
 
     answered: bool
     purged: bool
+    cut_at: float
     begin_by: float
     node_ready: bool
     source_ready: bool
@@ -45,6 +47,8 @@
         return Denial.ANSWERED
     if sending.purged:
         return Denial.PURGED
+    if now >= sending.cut_at:
+        return Denial.TIME_OVER
     if now >= sending.begin_by:
         return Denial.WINDOW_OVER
     if not sending.node_ready:
--- a/stonecove/stages/admit.py
+++ b/stonecove/stages/admit.py
@@ -39,7 +39,9 @@
         self.latest = float("inf")  # once the router stops, all is answered by this Unix millisecond
 
     def enter(self, now: float, asked: Asked) -> OpenRequest | None:
-        """The request, now open; None if there is no room for it and its answer."""
+        """The request, now open; None if there is no room for it and its answer, or its time is over."""
+        if asked.unread_for >= asked.ttl:
+            return None
         holds = len(asked.body) + min(MOST_ANSWER, round(asked.size * self._bytes_per_kb))
         if len(self._requests) >= self._most or not self._budget.has(holds):
             return None
--- a/stonecove/stages/route.py
+++ b/stonecove/stages/route.py
@@ -65,7 +65,8 @@
         now = self._clock.now()
         request = self.admit.enter(now, asked)
         if request is None:
-            self.book.counts["no_room"] += 1
+            over = asked.unread_for >= asked.ttl
+            self.book.counts["refused_over" if over else "no_room"] += 1
             asked.reply(Answer(Verdict.REFUSED, pause=self.admit.pause()))
             return None
         request.backstop = self._timers.at(request.deadline + BACKSTOP, partial(self._backstop, request))
--- a/stonecove/stages/send.py
+++ b/stonecove/stages/send.py
@@ -210,7 +210,8 @@
     def _sending(self, attempt: Attempt) -> rules.Sending:
         order: Get = attempt.order
         return rules.Sending(
-            answered=attempt.request.answered, purged=attempt.outdated, begin_by=order.begin_by,
+            answered=attempt.request.answered, purged=attempt.outdated, cut_at=order.cut_at,
+            begin_by=order.begin_by,
             node_ready=self._nodes.ready(order.node),
             source_ready=order.source == order.node or self._nodes.ready(order.source))
 
