--- a/stonecove/soak/harness.py
+++ b/stonecove/soak/harness.py
@@ -26,6 +26,7 @@
 from stonecove.soak.protocol import NodeRecord, Reader, records, request_records
 from stonecove.soak.scenario import CACHE_ID, KINDS, ORIGIN_ID, PARENT_ID, ZONES, Scenario, Step, Trouble
 
+PORTS = 10_000, 30_000
 BOOT = 4.0  # seconds for all processes to start
 SETTLE = 3.5  # seconds after the last request for what is still open
 KILL_AFTER = 3.7  # SIGKILL comes so long after SIGTERM
@@ -37,10 +38,14 @@
 
 
 def free_port(host: str = "127.0.0.1") -> int:
-    """A port that nobody listens on."""
-    with socket.create_server((host, 0)) as listener:
-        port: int = listener.getsockname()[1]
-        return port
+    """A port that nobody listens on, outside the range from which the system takes ports for connections."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        try:
+            with socket.create_server((host, port)):
+                return port
+        except OSError:
+            continue
 
 
 @dataclass(slots=True)
