--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -243,6 +243,18 @@
     assert not stand.lines("policy")
 
 
+@pytest.mark.parametrize("call", [Call.SEND, Call.RECEIVE])
+def test_buffers_that_lack_for_a_moment_end_no_connection(start: Callable[..., Stand], tmp_path: Path,
+                                                          call: Call) -> None:
+    flag = tmp_path / "lacking"
+    stand = start(faults=[Fault(call, "ENOBUFS", flag=str(flag), chance=0.5)])
+    client = stand.client()
+    assert fetched(stand, client) == 200
+    flag.touch()
+    assert [fetched(stand, client, ident) for ident in range(2, 8)] == [200] * 6
+    assert not stand.lines("connection-lost") and not stand.lines("client-lost")
+
+
 def test_a_whole_list_that_comes_in_over_seconds_is_taken(start: Callable[..., Stand]) -> None:
     stand = start()
     assert stand.log.since.get(timeout=PATIENCE) == 1
