Take a lack of buffers for no end of a connection, and look at leaving clients too

Cause: any OSError of send, recv and the look for the server's end counted as the end of the connection; with it went all that was open there. Change: local errors (ground/system_errors.py) are waited out, as when a socket takes no more. Session.look reads also a connection that is being left, as its client may leave unseen meanwhile. A change of the list no longer copies the table of starts.

--- a/stonecove/memory/nodes.py
+++ b/stonecove/memory/nodes.py
@@ -23,10 +23,12 @@
         for member in told.members:
             if member.node.state is NodeState.GONE:
                 self._members.pop(member.node.node, None)
+                self._starts.pop(member.node.node, None)
             else:
                 self._members[member.node.node] = member
 
-        self._starts = {node: start for node, start in self._starts.items() if node in self._members}
+        if told.whole:
+            self._starts = {node: start for node, start in self._starts.items() if node in self._members}
 
     def local_start(self, node: NodeId, unix: float) -> float | None:
         """The moment (ms of our clock) noted for that start of the node; None if there is none."""
--- a/stonecove/wire/channel.py
+++ b/stonecove/wire/channel.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from stonecove.ground.system_errors import is_local
 from stonecove.wire.buffer import Buffer
 from stonecove.wire.resp import MOST_BULK, Decoder
 
@@ -144,8 +145,8 @@
             ended = not self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
-        except OSError:
-            ended = True
+        except OSError as error:
+            ended = not is_local(error)
         if ended:
             self._why = "closed by the server"
             self.close()
@@ -166,8 +167,9 @@
         except BlockingIOError:
             pass
         except OSError as error:
-            self._why = str(error)
-            self.close()
+            if not is_local(error):  # else it is written once there is room again
+                self._why = str(error)
+                self.close()
         if sent or command is None:
             self._rest = self._rest[sent:]
         else:
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -146,7 +146,7 @@
 
     def look(self) -> None:
         """Reads what is there. The task that reads finds the end and what can't be read by itself."""
-        if self._receiving or self._leaving or self._reading.cancel_called:
+        if self._receiving or self._reading.cancel_called:
             return
         try:
             while (count := self._receive()) is not None:
--- a/stonecove/wire/connection.py
+++ b/stonecove/wire/connection.py
@@ -87,6 +87,10 @@
                         count = self._sock.recv_into(view)
                     except BlockingIOError:
                         continue
+                    except OSError as error:
+                        if is_local(error):
+                            continue
+                        raise
                 if not count:
                     return "closed by the server"
                 buffer.filled(count)
--- a/stonecove/wire/session.py
+++ b/stonecove/wire/session.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from stonecove.ground.system_errors import is_local
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import Buffer
 from stonecove.wire.channel import Socket
@@ -236,9 +237,11 @@
                 sent = self._sock.send(self._rest)
             except BlockingIOError:
                 sent = 0
-            except OSError:
-                self.close()
-                return
+            except OSError as error:
+                if not is_local(error):
+                    self.close()
+                    return
+                sent = 0
             self.last_used = self._clock()
             self._rest = self._rest[sent:]
             if self._rest:
