Show that copies older than their attempt move the translation of times

Suspicion: a copy noted as by way of the origin may have been given out for somebody else before this attempt began, as a parent joins fetches; three of them in a row are believed.

--- /dev/null
+++ b/tests/test_peer_time.py
@@ -0,0 +1,77 @@
+"""The translation of told Unix times: what counts as evidence that clocks differ, and what does not."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from stonecove.ground.clock import Clock
+from stonecove.ground.log import divert
+from stonecove.ground.peer_time import PeerTime
+
+START = 1_000_000.0  # Unix seconds
+
+
+class Machine:
+    """A clock of our own whose steady and wall time the test sets, in seconds."""
+
+    def __init__(self) -> None:
+        self.steady, self.wall_ahead = START, 0.0
+        self.clock = Clock(lambda: self.steady, lambda: self.steady + self.wall_ahead)
+        self.peers = PeerTime(self.clock)
+
+    def copy(self, age: float, peers_ahead: float = 0.0, took: float = 0.02) -> None:
+        """A copy comes that was given out so many seconds before its answer, by the peers' clock."""
+        sent = self.clock.now()
+        self.steady += took
+        received = self.clock.now()
+        self.peers.given_out(received + (peers_ahead - age) * 1000.0, sent, received)
+        self.steady += 0.3
+
+    def off_by(self) -> float:
+        """Seconds by which the peers' clock is taken to be ahead of ours."""
+        return (self.clock.now() - self.peers.local(self.clock.now())) / 1000.0
+
+
+@pytest.fixture
+def machine() -> Machine:
+    return Machine()
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    divert(lambda event, fields: None)
+    yield
+    divert(None)
+
+
+def test_copies_that_are_older_than_their_attempt_move_nothing(machine: Machine) -> None:
+    """A parent may have got them from the origin for somebody else, a while before."""
+    for _ in range(5):
+        machine.copy(1.4)
+    assert machine.off_by() == 0.0
+    for age in (0.01, 1.4, 1.4, 1.4, 1.4, 0.01, 3.0, 1.4, 1.4, 1.4, 1.4, 1.4):
+        machine.copy(age)
+        assert machine.off_by() == 0.0
+
+
+@pytest.mark.parametrize("ahead", [-3600.0, -1.5, 30.0, 3600.0])
+def test_a_clock_that_is_off_is_found_out_by_the_freshest_copies(machine: Machine, ahead: float) -> None:
+    for place in range(20):
+        machine.copy((0.01, 1.4, 0.6)[place % 3], ahead)
+    assert machine.off_by() == pytest.approx(ahead, abs=0.05)
+
+
+def test_a_wall_clock_that_was_set_right_is_believed_with_the_first_copy(machine: Machine) -> None:
+    machine.wall_ahead = -3600.0
+    assert machine.off_by() == 0.0
+    machine.copy(0.01, -3600.0)
+    assert machine.off_by() == pytest.approx(-3600.0, abs=0.05)
+
+
+def test_news_from_the_future_show_that_we_are_behind_unless_they_are_absurd(machine: Machine) -> None:
+    machine.peers.happened(machine.clock.now() + 5000.0)
+    assert machine.off_by() == pytest.approx(5.0)
+    machine.peers.happened(2.0 ** 63)
+    assert machine.off_by() == pytest.approx(5.0)
