Tell how long input waited from late alarms instead of watching every poll

Change: Timers notes when an alarm was late, which tells the same for reads of several requests; the check looks at repeats only where there are some.

--- a/stonecove/explore/fingerprint.py
+++ b/stonecove/explore/fingerprint.py
@@ -127,6 +127,8 @@
             "_steady": WIRING,
             "_wake": WIRING,
             "_count": "the order of equal times is that of the heap",
+            "_ran": "read for what waits unread; what comes is read at once here",
+            "_stall": "read for what waits unread; what comes is read at once here",
         },
     ),
     channel.Channel: (
--- a/stonecove/ground/timers.py
+++ b/stonecove/ground/timers.py
@@ -10,6 +10,10 @@
 from stonecove.ground.log import log
 
 
+LATE = 0.02  # seconds by which an alarm is late if the process stood still; the loop's own grid is finer
+STILL_UNREAD = 0.2  # seconds after the process stood still for which what is read may have come meanwhile
+
+
 def nobody() -> None:
     """Nobody waits, so nobody is woken."""
 
@@ -38,6 +42,8 @@
         self._wake = wake
         self._heap: list[tuple[float, int, Alarm]] = []
         self._count = 0
+        self._ran = steady()  # when alarms were looked at last
+        self._stall = (0.0, -math.inf)  # since when the process may have stood still, and when that was seen
 
     def at(self, moment: float, call: Callable[[], None]) -> Alarm:
         """Has the call made at that Unix millisecond, never before this turn is over."""
@@ -59,11 +65,27 @@
     def run_due(self) -> None:
         """Makes the calls that have fallen due by now."""
         now = self._steady()
+        if now - self.next_due() > LATE:
+            self._stall = self._ran, now
+        self._ran = now
         while self._heap and (self._heap[0][0] <= now or self._heap[0][2].call is None):
             call = heapq.heappop(self._heap)[2].call
             if call is not None:
                 self._make(call)
 
+    def stood_still_for(self) -> float:
+        """Milliseconds for which what is read now may have waited, since the process stood still or lagged.
+
+        0 if it did neither: then alarms are made in time.
+        """
+        now = self._steady()
+        since, seen = self._stall
+        if now - self.next_due() > LATE:
+            since = self._ran
+        elif now - seen > STILL_UNREAD:
+            return 0.0
+        return (now - since) * 1000.0
+
     @staticmethod
     def _make(call: Callable[[], None]) -> None:
         """Guards against one call that goes wrong ending all the others."""
--- a/stonecove/lifecycle/serve.py
+++ b/stonecove/lifecycle/serve.py
@@ -31,7 +31,7 @@
 from stonecove.wire.connection import Connection
 from stonecove.wire.follow import ChangeLog
 from stonecove.wire.front import Front
-from stonecove.wire.unread import PollWatch, age_at_accept
+from stonecove.wire.unread import age_at_accept
 
 GRID = 0.005  # seconds: alarms fall due in steps, for each waking costs as much as many calls
 GRACE = 0.8  # seconds after SIGTERM for which new connections and requests still come
@@ -71,7 +71,6 @@
         self._front = Front(config.settings, self._route)
         self._changelog = ChangeLog(*config.changelog, config.last, config.seed)
         self._memory = MemoryGauge()
-        self._polls = PollWatch()
         self._reloader = Reloader(self._take_over)
         self._stopping = False
         self._stop_by = 0.0  # once it stops: the moment of trio's clock by which all is answered
@@ -120,7 +119,6 @@
 
     async def run(self, listener: socket.socket) -> None:
         """Serves until SIGTERM, and then finishes what was taken; reads its configuration anew on SIGHUP."""
-        trio.lowlevel.add_instrument(self._polls)
         for event in self._config.known:
             self._route.told(event)
         with trio.open_signal_receiver(*SIGNALS) as signals:
@@ -294,7 +292,8 @@
         """Accepts a connection; it counts from now on, not from when its task first runs."""
         sock, _ = listener.accept()
         sock.setblocking(False)
-        client = Client(sock, self._front, self._clock.now, self._budget, self._polls, age_at_accept(sock))
+        client = Client(sock, self._front, self._clock.now, self._budget, self._timers.stood_still_for,
+                        age_at_accept(sock))
         self._clients.add(client)
         self._spawn(partial(self._serve, sock, client))
 
--- a/stonecove/stages/rule_check.py
+++ b/stonecove/stages/rule_check.py
@@ -35,34 +35,37 @@
     def sending(self, attempt: Attempt, now: float, listed: bool) -> None:
         """An attempt's first byte is about to be written; `listed`: its cache and source are ready now."""
         request = attempt.request
-        node = f"s-{attempt.order.node:08x}"
         if request.answered:
-            self._broken("sent_after_answer", request, node)
+            self._attempt_broken("sent_after_answer", attempt)
         if not listed:
-            self._broken("sent_to_unready", request, node)
+            self._attempt_broken("sent_to_unready", attempt)
         if attempt.order.cut_at > request.deadline + LIMIT_TOLERANCE:
-            self._broken("limit_beyond_deadline", request, node)
+            self._attempt_broken("limit_beyond_deadline", attempt)
         if attempt.number >= self._settings.most_attempts:
-            self._broken("too_many_attempts", request, node)
-        self._repeat(attempt, now, node)
+            self._attempt_broken("too_many_attempts", attempt)
+        if len(request.attempts) > 1:
+            self._repeat(attempt, now)
 
-    def _repeat(self, attempt: Attempt, now: float, node: str) -> None:
+    def _attempt_broken(self, rule: str, attempt: Attempt) -> None:
+        self._broken(rule, attempt.request, f"s-{attempt.order.node:08x}")
+
+    def _repeat(self, attempt: Attempt, now: float) -> None:
         others = [other for other in attempt.request.attempts if other is not attempt and other.written_at]
         if not self._settings.second_copies and any(not other.ended for other in others):
-            self._broken("second_copy", attempt.request, node)
+            self._attempt_broken("second_copy", attempt)
         cls = self._class(attempt.request)
         ran = [other for other in others if other.may_have_run()]
         if not ran or cls.effect is Effect.SAFE:
             return
         if cls.effect is Effect.UNSAFE:
-            self._broken("unsafe_repeat", attempt.request, node)
+            self._attempt_broken("unsafe_repeat", attempt)
         elif now > rules.repeat_until(cls, min(other.written_at for other in ran)):
-            self._broken("repeat_after_window", attempt.request, node)
+            self._attempt_broken("repeat_after_window", attempt)
 
     def answered(self, request: OpenRequest, verdict: Verdict, now: float) -> None:
         """A request gets its final answer."""
-        may_have_run = any(attempt.written_at and attempt.may_have_run() for attempt in request.attempts)
-        if verdict is Verdict.REFUSED and not rules.may_refuse(self._class(request), may_have_run):
+        if verdict is Verdict.REFUSED and not rules.may_refuse(
+                self._class(request), any(attempt.may_have_run() for attempt in request.attempts)):
             self._broken("refused_after_run", request)
         if now > request.deadline + LATEST_ANSWER:
             self._broken("answered_late", request, f"{now - request.deadline:.0f} ms after its time")
--- a/stonecove/wire/client.py
+++ b/stonecove/wire/client.py
@@ -9,28 +9,34 @@
 import trio
 
 from stonecove.ground.system_errors import is_local
+from stonecove.ground.timers import STILL_UNREAD
 from stonecove.memory.budget import Budget
 from stonecove.wire.buffer import BufferFullError
 from stonecove.wire.fastcgi import FastCgiError
 from stonecove.wire.session import GULP, Handler, Session
-from stonecove.wire.unread import STILL_UNREAD, PollWatch, last_received_ago
+from stonecove.wire.unread import last_received_ago
 
 LINGER = 1.0, 1 << 20  # seconds and bytes for which a client that we leave may go on sending
 STALL = 10.0  # seconds for which a client may take in nothing
 
 
+def never() -> float:
+    """The process never stood still."""
+    return 0.0
+
+
 class Connection(Session):
     """A session on a plain non-blocking socket."""
 
     def __init__(self, sock: socket.socket, handler: Handler, clock: Callable[[], float],
-                 budget: Budget, polls: PollWatch | None = None, waited: float = 0.0) -> None:
-        """`polls` tells how long input may have waited; without it, only what the kernel knows counts.
+                 budget: Budget, stood_still_for: Callable[[], float] = never, waited: float = 0.0) -> None:
+        """`stood_still_for` tells for how many milliseconds input may have waited, as the process lagged;
 
-        `waited`: milliseconds for which the connection waited to be accepted.
+        `waited`, for how many the connection waited to be accepted.
         """
         super().__init__(sock, handler, clock, budget)
         self._sock: socket.socket = sock
-        self._polls = polls
+        self._stood_still_for = stood_still_for
         self._waited = waited
         self._accepted_at = clock()
         self._receiving = False
@@ -137,7 +143,7 @@
     def _note_unread(self, more: bool) -> None:
         """Notes how long what was just read may have waited; `more`: there may be more to read."""
         received_ago = last_received_ago(self._sock)
-        most = self._polls.unread_for(received_ago) if self._polls else received_ago or 0.0
+        most = max(received_ago or 0.0, self._stood_still_for())
         since_accepted = self._clock() - self._accepted_at
         if self.mute and since_accepted < STILL_UNREAD * 1000.0:
             most = max(most, self._waited + since_accepted)
