Keep the fixture that starts routers in one place, and make it stricter

It stood three times; it now also fails on a failed task and a broken rule of the run-time check. The soak's Fetched keeps only what the oracle reads.

--- a/stonecove/soak/cache_process.py
+++ b/stonecove/soak/cache_process.py
@@ -126,9 +126,7 @@
     async def _fetch(self, stream: trio.SocketStream, running: dict[str, trio.CancelScope],
                      items: list[bytes]) -> None:
         txn, fields = items[1].decode(), fields_from(items[2])
-        source = int(fields.get("from", "s-0")[2:], 16)
-        self.report(Fetched(time.monotonic(), self.ident, txn, fields["cls"], float(fields["limit"]), source,
-                            self.started))
+        self.report(Fetched(time.monotonic(), self.ident, txn, self.started))
         with trio.CancelScope() as scope:
             running[txn] = scope
             try:
--- a/stonecove/soak/observations.py
+++ b/stonecove/soak/observations.py
@@ -32,9 +32,6 @@
     at: float
     cache: int
     txn: str
-    cls: str
-    limit_ms: float
-    source: int
     started: int  # Unix ms of the cache's own start
 
     def line(self) -> str:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from stand import Stand
 from stonecove.choice import Director
 from stonecove.interface import (Action, ClassSettings, Effect, Ended, Event, Get, KeyGroup, Listed, ListKind,
                                  Node, NodeState, Outcome, Request, Settings)
@@ -81,6 +82,23 @@
     return [act for act in actions if isinstance(act, Get)]
 
 
+@pytest.fixture
+def start() -> Iterator[Callable[..., Stand]]:
+    """Starts routers that are ended with the test; none may log a bug, a failed task or a broken rule."""
+    running: list[Stand] = []
+
+    def make(**what: Any) -> Stand:
+        running.append(Stand(**what))
+        return running[-1]
+
+    yield make
+    wrong = [line for stand in running for event in ("bug", "task-failed", "rule-violation")
+             for line in stand.lines(event)]
+    for stand in running:
+        stand.close()
+    assert not wrong
+
+
 @pytest.fixture
 def world() -> World:
     return World()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -30,22 +30,6 @@
 TIME_WAIT = "06"
 
 
-@pytest.fixture
-def start() -> Iterator[Callable[..., Stand]]:
-    """Starts routers that are ended with the test."""
-    running: list[Stand] = []
-
-    def make(**what: Any) -> Stand:
-        running.append(Stand(**what))
-        return running[-1]
-
-    yield make
-    for stand in running:
-        bugs = stand.lines("bug")
-        stand.close()
-        assert not bugs
-
-
 def limits(**changes: Any) -> dict[str, Any]:
     return {**SETTINGS["limits"], **changes}
 
--- a/tests/test_hostile_system.py
+++ b/tests/test_hostile_system.py
@@ -13,7 +13,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -23,22 +23,6 @@
 from stonecove.soak.plan import Call, Fault
 
 
-@pytest.fixture
-def start() -> Iterator[Callable[..., Stand]]:
-    """Starts routers that are ended with the test; none may log a bug."""
-    running: list[Stand] = []
-
-    def make(**what: Any) -> Stand:
-        running.append(Stand(**what))
-        return running[-1]
-
-    yield make
-    for stand in running:
-        bugs = stand.lines("bug")
-        stand.close()
-        assert not bugs
-
-
 def fetched(stand: Stand, client: Client, ident: int = 1, **what: Any) -> int:
     """The status of a request whose first attempt a cache fills and answers well."""
     client.send(ident, **what)
--- a/tests/test_unread_input.py
+++ b/tests/test_unread_input.py
@@ -12,7 +12,6 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -23,22 +22,6 @@
 UNREAD = 0.6  # seconds
 
 
-@pytest.fixture
-def start() -> Iterator[Callable[..., Stand]]:
-    """Starts routers that are ended with the test; none may log a bug."""
-    running: list[Stand] = []
-
-    def make(**what: Any) -> Stand:
-        running.append(Stand(**what))
-        return running[-1]
-
-    yield make
-    for stand in running:
-        bugs = stand.lines("bug") + stand.lines("rule-violation")
-        stand.close()
-        assert not bugs
-
-
 @contextlib.contextmanager
 def stopped(stand: Stand) -> Iterator[None]:
     """The router reads nothing meanwhile."""
