Write no log where no standard error was given

Cause, by reading: with descriptor 2 closed at the start its number goes to a later file or socket, into which lines would be written. Change: LineWriter then has no descriptor. A test that starts the router so passes with and without this change, as the number went to no connection there; it was left out.

--- a/stonecove/ground/log.py
+++ b/stonecove/ground/log.py
@@ -14,6 +14,7 @@
 MOST_A_SECOND = 5  # lines of one event that peers can bring about as often as they like
 MOST_LINE = select.PIPE_BUF  # bytes; a pipe that is writable at all takes so many without waiting
 STANDARD_ERROR = 2
+NONE = -1  # no descriptor: every write fails
 
 _sink: Sink | None = None
 _told: dict[str, tuple[int, int]] = {}  # by event: the second, and lines asked for in it
@@ -28,8 +29,8 @@
         self.dropped = 0  # lines since the last one that was written
         try:
             waits = not stat.S_ISREG(os.fstat(descriptor).st_mode)
-        except OSError:
-            waits = False
+        except OSError:  # nobody gave us one, and its number may be that of a socket by and by
+            waits, self._descriptor = False, NONE
         if waits:
             self._poll = select.poll()
             self._poll.register(descriptor, select.POLLOUT)
