--- a/stonecove/lifecycle/startup.py
+++ b/stonecove/lifecycle/startup.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from stonecove.ground.log import log_some
+from stonecove.ground.log import log
 from stonecove.ground.system_errors import is_local
 from stonecove.lifecycle.config import Config, ConfigUnreadableError, read_config
 
@@ -29,15 +29,19 @@
 
 def patiently(step: Callable[[], Result]) -> Result:
     """The step's result; raises its error once it lasts, or is of a kind that does not pass."""
-    end = time.monotonic() + PATIENCE
+    began, why = time.monotonic(), ""
     while True:
         try:
-            return step()
+            result = step()
         except (OSError, ConfigUnreadableError) as error:
-            if not _may_pass(error) or time.monotonic() >= end:
+            if not _may_pass(error) or time.monotonic() >= began + PATIENCE:
                 raise
-            log_some("start-delayed", why=str(error))
+            why = str(error)
             time.sleep(PAUSE)
+        else:
+            if why:  # told afterwards: what lasts is one clear line of the caller's
+                log("start-delayed", why=why, by_ms=(time.monotonic() - began) * 1000.0)
+            return result
 
 
 def load_config() -> Config:
