Review case 2: a keyed write runs twice when a second attempt overtakes the first

Cause: an attempt that waits for its connection keeps start_before = infinity, as it was the first one. A hedged request may be sent before it; the waiting attempt is then itself the repeat and is sent after the window.

--- a/review/lib/backends.py
+++ b/review/lib/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -33,15 +34,22 @@
 class Listener:
     """Accepts connections and serves each in a thread."""
 
-    def __init__(self, serve: Callable[[socket.socket], None], port: int = 0) -> None:
-        self._serve = serve
-        self._sock = socket.create_server(("127.0.0.1", port), backlog=128)
+    def __init__(
+        self,
+        serve: Callable[[socket.socket], None],
+        backlog: int = 128,
+        before_accept: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._serve, self._before_accept = serve, before_accept
+        self._sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.port: int = self._sock.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
+                select.select([self._sock], [], [])
+                self._before_accept()
                 sock, _ = self._sock.accept()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 threading.Thread(target=self._run, args=(sock,), daemon=True).start()
@@ -68,17 +76,28 @@
         with contextlib.suppress(OSError), self.cache.lock:
             self.sock.sendall(data)
 
+    def reset(self) -> None:
+        """Resets the connection without an answer."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.shutdown(socket.SHUT_RD)  # ends the thread that reads
+
 
 class Cache:
     """A cache: passes each fetch to a handler, in a thread of its own."""
 
     def __init__(
-        self, endpoint_id: int, handle: Callable[[Fetch], None], notes: Record, port: int = 0
+        self,
+        endpoint_id: int,
+        handle: Callable[[Fetch], None],
+        notes: Record,
+        listen: Callable[[Callable[[socket.socket], None]], Listener] = Listener,
     ) -> None:
         self.endpoint_id, self.name, self.notes = endpoint_id, f"s-{endpoint_id:08x}", notes
         self._handle = handle
         self.lock = threading.Lock()
-        self.listener = Listener(self._serve, port)
+        self.fetches = 0
+        self.listener = listen(self._serve)
 
     def _serve(self, sock: socket.socket) -> None:
         stream = sock.makefile("rb")
@@ -89,6 +108,7 @@
                 self.notes.note(f"{self.name} gets abort {command[1].decode()}")
             else:
                 fetch = Fetch(self, sock, command)
+                self.fetches += 1
                 self.notes.note(f"{self.name} gets fetch {fetch.txn} {command[2].decode()}")
                 threading.Thread(target=self._handle, args=(fetch,), daemon=True).start()
 
@@ -96,13 +116,13 @@
 class ChangeLog:
     """The change log: tells the events after the number that a router names, and a heartbeat each second."""
 
-    def __init__(self, first: int, notes: Record, port: int = 0) -> None:
+    def __init__(self, first: int, notes: Record) -> None:
         self.last = first
         self._notes = notes
         self._first = first
         self._events: list[bytes] = []
         self._changed = threading.Condition()
-        self.listener = Listener(self._serve, port)
+        self.listener = Listener(self._serve)
 
     def add(self, kind: int, payload: bytes, text: str) -> None:
         """Adds an event and tells it."""
