--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -132,6 +132,7 @@
         log_port: int,
         notes: Record,
         settings: dict[str, Any] | None = None,
+        memory_mb: int = 128,
     ) -> None:
         self._notes = notes
         self._directory = tempfile.TemporaryDirectory()
@@ -144,7 +145,7 @@
             "name": "n0",
             "listen": f"127.0.0.1:{self.address[1]}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 256},
             "changelog": f"127.0.0.1:{log_port}",
             "flow_bytes_per_s": 310000,
             "link_bytes_per_s": 12400000,
--- a/review/lib/fastcgi.py
+++ b/review/lib/fastcgi.py
@@ -34,6 +34,7 @@
     bucket: int = 17
     etag: str = ""
     key: str = ""
+    size_kb: float = 80.5
     txn: str = field(default_factory=lambda: secrets.token_hex(8))
     sent_at: float = 0.0  # monotonic seconds, once the last byte is written
     answers: list[tuple[float, str, dict[str, str], bytes]] = field(default_factory=list)
@@ -47,7 +48,7 @@
             "X_ROW": self.row,
             "X_SEG": "0",
             "X_BUCKET": str(self.bucket),
-            "X_WORKING_SET_KB": "80.5",
+            "X_WORKING_SET_KB": f"{self.size_kb:.1f}",
             "X_ETAG": self.etag,
             "X_TXN_KEY": self.key,
         }
