--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
 """Case 2: a keyed request whose first attempt waits for a connection while a second attempt overtakes it.
 
-Each round: the home cache answers a first request on its only connection. Meanwhile the keyed request comes
-and gets a new connection, which comes up late. Its second attempt goes out on the first connection, which is
+The home cache has three connections from the router and is busy on each. Meanwhile the keyed request comes
+and gets a fourth connection, which comes up late. Its second attempt goes out on one of the three, which is
 reset under it after the write has run.
 """
 
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from lib.backends import Cache, ChangeLog, Fetch, Listener
+from lib.backends import BACKLOG, Cache, ChangeLog, Fetch, Listener
 from lib.deployment import SETTINGS, Router
 from lib.fastcgi import Client, Request
 from lib.record import Record
@@ -25,15 +25,14 @@
 TROUBLE = os.environ.get("TROUBLE") != "0"
 LATE = TROUBLE and os.environ.get("LATE") != "0"  # a connection to the home cache comes up late
 RESET = TROUBLE and os.environ.get("RESET") != "0"  # a connection is reset under the keyed request
-ROUNDS = 5
+CONNECTIONS = 3  # to the home cache that come up at once; one more is late, and so one of four
 ROW = "00000000000b0a7d"
 WINDOW = 0.5  # seconds for which caches discard repeats, as in the settings
 SLACK = 0.05  # seconds by which time limits are longer on sockets
 CONNECT_TIMEOUT_MS = 1500.0
 LATE_BY = 0.9  # seconds; the system repeats the router's SYN after 1 s, so the connection is up at about 1 s
 ANSWER_TIME = 0.02  # seconds that a cache takes
-FIRST_ANSWER_TIME = 0.15  # seconds that the home cache takes for the first request of a round
-ROUND_TIME = 6.0  # seconds
+BUSY_TIME = 0.15  # seconds that the home cache takes for the requests before the keyed one
 DEADLINE_MS = 4000
 KEYED = "note"  # begins the keys of the keyed requests
 
@@ -68,7 +67,7 @@
         self.accepting = threading.Event()
         self.accepting.set()
         self._fillers: list[socket.socket] = []
-        super().__init__(serve, backlog=0, before_accept=self._wait)
+        super().__init__(serve, before_accept=self._wait)
 
     def _wait(self) -> None:
         self.accepting.wait()
@@ -76,6 +75,7 @@
     def fill(self) -> None:
         """Stops accepting and fills the queue with connections of its own."""
         self.accepting.clear()
+        self.sock.listen(0)
         for _ in range(4):
             sock = socket.socket()
             sock.setblocking(False)
@@ -88,6 +88,7 @@
         for sock in self._fillers:
             sock.close()
         self._fillers.clear()
+        self.sock.listen(BACKLOG)
         self.accepting.set()
 
 
@@ -116,45 +117,46 @@
             self._notes.note(f"{fetch.cache.name} resets the connection under {fetch.txn}")
             fetch.reset()
             return
-        time.sleep(ANSWER_TIME if key.startswith(KEYED) else FIRST_ANSWER_TIME)
-        born = int(time.time() * 1000)
-        fetch.answer("200", {"ver": "aa11", "born": born, "tell": "via_origin"}, b"noted")
+        taken = ANSWER_TIME if key.startswith(KEYED) else BUSY_TIME
+        time.sleep(taken)
+        fields = {"ver": "aa11", "born": int(time.time() * 1000), "tell": "via_origin"}
+        fetch.answer("200", {**fields, "waited": round(taken * 1000.0)}, b"noted")
+
+    def count(self) -> int:
+        """Returns how many keys ran."""
+        return len(self._runs)
 
     def run_twice(self) -> list[str]:
         """Returns the keys that ran more than once."""
         return [key for key, runs in self._runs.items() if len(runs) > 1]
 
 
-def find_home(client: Client, key: str, caches: list[Cache]) -> Cache:
-    """Returns the cache to which the router sends requests for the row; it has an idle connection then."""
-    counts = [cache.fetches for cache in caches]
-    client.send(Request("guest-note", ROW, DEADLINE_MS, key=key))
-    time.sleep(2.0 * FIRST_ANSWER_TIME)
-    return next(cache for cache, count in zip(caches, counts, strict=True) if cache.fetches > count)
-
-
-def play(router: Router, caches: list[Cache], notes: Record) -> list[Request]:
-    """Sends the requests, a keyed one in each round."""
-    requests = []
-    for number in range(ROUNDS):
-        client = Client(router.address, f"client {number}", notes)
-        home = find_home(client, f"probe-{number}", caches)
-        listener = home.listener
-        assert isinstance(listener, LateListener)
-        notes.note(f"round {number}: the home cache is {home.name}")
-        if LATE:
-            notes.note(f"{home.name}: its queue of new connections is full")
-            listener.fill()
-        requests.append(Request("guest-note", ROW, DEADLINE_MS, key=f"{KEYED}-{number}"))
-        client.send(Request("guest-note", ROW, DEADLINE_MS, key=f"first-{number}"))
-        client.send(requests[-1])
-        time.sleep(LATE_BY)
-        if LATE:
-            notes.note(f"{home.name} accepts connections again")
-            listener.release()
-        time.sleep(ROUND_TIME - LATE_BY)
-        client.close()
-    return requests
+def send_busy(client: Client, name: str) -> None:
+    """Sends one request for each connection, all at once."""
+    for number in range(CONNECTIONS):
+        client.send(Request("guest-note", ROW, DEADLINE_MS, key=f"{name}-{number}"))
+
+
+def play(router: Router, caches: list[Cache], notes: Record) -> None:
+    """Sends the requests, the keyed one after the others."""
+    client = Client(router.address, "client", notes)
+    send_busy(client, "early")
+    time.sleep(2.0 * BUSY_TIME)
+    home = max(caches, key=lambda cache: cache.fetches)
+    listener = home.listener
+    assert isinstance(listener, LateListener)
+    notes.note(f"the home cache is {home.name}")
+    if LATE:
+        notes.note(f"{home.name}: its queue of new connections is full")
+        listener.fill()
+    send_busy(client, "busy")
+    client.send(Request("guest-note", ROW, DEADLINE_MS, key=KEYED))
+    time.sleep(LATE_BY)
+    if LATE:
+        notes.note(f"{home.name} accepts connections again")
+        listener.release()
+    time.sleep(DEADLINE_MS / 1000.0 + 1.0 - LATE_BY)
+    client.close()
 
 
 def run(notes: Record) -> int:
@@ -167,11 +169,11 @@
         if not router.wait_until_ready():
             notes.note("the router did not become ready")
             return 2
-        requests = play(router, caches, notes)
+        play(router, caches, notes)
     finally:
         router.close()
     twice = writes.run_twice()
-    summary = f"{len(requests)} keyed requests, {len(twice)} ran twice: {' '.join(twice) or '-'}"
+    summary = f"{writes.count()} keyed requests, {len(twice)} ran twice: {' '.join(twice) or '-'}"
     notes.note(summary)
     print(summary)
     return 1 if twice else 0
--- a/review/lib/backends.py
+++ b/review/lib/backends.py
@@ -13,6 +13,8 @@
 
 from lib.record import Record
 
+BACKLOG = 128  # connections that wait to be accepted
+
 
 def array(*items: bytes) -> bytes:
     """Encodes a RESP array of bulk strings."""
@@ -37,20 +39,19 @@
     def __init__(
         self,
         serve: Callable[[socket.socket], None],
-        backlog: int = 128,
         before_accept: Callable[[], None] = lambda: None,
     ) -> None:
         self._serve, self._before_accept = serve, before_accept
-        self._sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
-        self.port: int = self._sock.getsockname()[1]
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        self.port: int = self.sock.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
-                select.select([self._sock], [], [])
+                select.select([self.sock], [], [])
                 self._before_accept()
-                sock, _ = self._sock.accept()
+                sock, _ = self.sock.accept()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 threading.Thread(target=self._run, args=(sock,), daemon=True).start()
 
