Bound the work for one client connection before the others have their turn

Cause: ClientConnection.poll_input, called right before an attempt is sent, read until the socket was empty, and a client that sends faster than its records are decoded never lets it become empty. In general the work for one connection had no bound, and nothing turned away a client that sends records of no use.

With a socket whose input never ends poll_input reads 8 MB and does not return.

Change: a turn of a connection takes at most 128 records, of which 8 complete requests, and writes its replies together; what is left waits in the buffer. A poll takes at most 16 turns and says whether the input is processed; if not, the attempt is queued again later, as an abort may be behind the rest. 1,000 records or 1 MiB of no use since the last accepted request close the connection. Time in the buffer counts as time unread. Same cause elsewhere: responses of one cache (64 a turn), accepting at the shutdown, withdrawn requests in a batch of decisions, the size of a request over the memory budget.

Why it works: each turn ends after a bounded number of steps and each task gets one turn per pass of the event loop.

--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -36,6 +36,7 @@
             "_clock": REFERENCE,
             "_sock": REFERENCE,
             "_flushing": "false between steps",
+            "arrays_left": "no connection of the model brings as many responses at once as a turn processes",
             "_close_reason": REPORTED,
         },
     ),
@@ -53,11 +54,19 @@
             "time_unread": "in the model, bytes are read as soon as they arrive",
             "_max_unread_time": "in the model, bytes are read as soon as they arrive",
             "_final_bytes_unread_time": "in the model, bytes are read as soon as they arrive",
+            "_received_at": "in the model, bytes are read as soon as they arrive",
+            "_records_left": "no client of the model sends as many records at once as a turn processes",
+            "_processing_input": "false between steps",
         },
     ),
     fastcgi.FastCgiDecoder: Fields(
         "_partial_requests open_ids consecutive_rejections keep_connection",
-        {"_budget": REFERENCE, "_clock": REFERENCE},
+        {
+            "_budget": REFERENCE,
+            "_clock": REFERENCE,
+            "stray_records": "clients of the model send too few records to reach the limit",
+            "stray_bytes": "clients of the model send too few records to reach the limit",
+        },
     ),
 }
 
--- a/edge_router/protocol/fastcgi.py
+++ b/edge_router/protocol/fastcgi.py
@@ -117,6 +117,8 @@
     started_at: float  # ms on the decoder's clock
     params: bytearray = field(default_factory=bytearray)
     body: bytearray = field(default_factory=bytearray)
+    params_size: int = 0  # bytes received, also those that were dropped
+    body_size: int = 0  # bytes received, also those that were dropped
     params_complete: bool = False
     over_budget: bool = False  # content was dropped, as the memory budget was used up
 
@@ -199,6 +201,10 @@
         # Requests rejected in a row, here or by the handler. The session counts the latter, and resets the
         # number after each accepted request. Requests that are not complete in time do not count.
         self.consecutive_rejections = 0
+        # Records and their bytes, since the last accepted request, that brought no request further: of
+        # unknown types, management records, and records of requests that are not being received.
+        self.stray_records = 0
+        self.stray_bytes = 0
         self.keep_connection = True  # whether the client asked to keep it open after the responses
 
     def complete_count(self) -> int:
@@ -209,9 +215,25 @@
         """Returns how many requests have begun and are not complete."""
         return len(self._partial_requests)
 
-    def decode_events(self, buffer: ReceiveBuffer) -> Iterator[DecoderEvent]:
-        """Consumes the complete records in the buffer; raises FastCgiError if they break the protocol."""
-        while len(buffer) >= _HEADER.size:
+    def request_accepted(self) -> None:
+        """Starts the counts of rejected requests and stray records again, as the handler took a request."""
+        self.consecutive_rejections = self.stray_records = self.stray_bytes = 0
+
+    @staticmethod
+    def has_complete_record(buffer: ReceiveBuffer) -> bool:
+        """Returns whether the buffer begins with a complete record."""
+        if len(buffer) < _HEADER.size:
+            return False
+        _, _, _, length, padding, _ = buffer.peek_struct(_HEADER)
+        return len(buffer) >= _HEADER.size + int(length) + int(padding)
+
+    def decode_events(self, buffer: ReceiveBuffer, max_records: int | None = None) -> Iterator[DecoderEvent]:
+        """Consumes the complete records in the buffer, at most `max_records` of them.
+
+        Raises FastCgiError if they break the protocol.
+        """
+        consumed = 0
+        while len(buffer) >= _HEADER.size and consumed != max_records:
             version, record_type, request_id, length, padding, _ = buffer.peek_struct(_HEADER)
             if version != PROTOCOL_VERSION:
                 raise FastCgiError(f"unsupported protocol version {version}")
@@ -220,6 +242,7 @@
             buffer.skip(_HEADER.size)
             content = buffer.read(length)
             buffer.skip(padding)
+            consumed += 1
             event = self._on_record(record_type, request_id, content)
             if event is not None:
                 yield event
@@ -240,21 +263,26 @@
 
     def _on_record(self, record_type: int, request_id: int, content: bytes) -> DecoderEvent | None:
         if record_type == RecordType.GET_VALUES:
+            self._count_stray(content)
             return RecordReply(_get_values_result(content))
         if not request_id or record_type > RecordType.GET_VALUES_RESULT:
+            self._count_stray(content)
             return RecordReply(record(RecordType.UNKNOWN_TYPE, 0, _UNKNOWN_TYPE.pack(record_type)))
         if record_type == RecordType.BEGIN_REQUEST:
             return self._on_begin(request_id, content)
         if record_type == RecordType.ABORT_REQUEST:
             return self._on_abort(request_id)
         partial = self._partial_requests.get(request_id)
-        if partial is None:
-            return None  # FastCGI 1.0: records of unknown requests are ignored
-        if record_type == RecordType.PARAMS:
+        if partial is not None and record_type == RecordType.PARAMS:
             return self._on_params(request_id, partial, content)
-        if record_type == RecordType.STDIN:
+        if partial is not None and record_type == RecordType.STDIN:
             return self._on_stdin(request_id, partial, content)
-        return None
+        self._count_stray(content)
+        return None  # FastCGI 1.0: records of unknown requests are ignored
+
+    def _count_stray(self, content: bytes) -> None:
+        self.stray_records += 1
+        self.stray_bytes += _HEADER.size + len(content)
 
     def _on_begin(self, request_id: int, content: bytes) -> RecordReply | None:
         if len(content) < _BEGIN.size:
@@ -273,23 +301,25 @@
 
     def _on_abort(self, request_id: int) -> RequestAborted | RecordReply | None:
         if request_id not in self.open_ids:
+            self._count_stray(b"")
             return None
         if request_id not in self._partial_requests:
             return RequestAborted(request_id)
+        self._count_stray(b"")
         self._discard_partial(request_id)
         self.open_ids.discard(request_id)
         return RecordReply(end_record(request_id, ProtocolStatus.COMPLETE, _ABORTED_APP_STATUS))
 
     def _on_params(self, request_id: int, partial: _PartialRequest, content: bytes) -> RequestComplete | None:
+        partial.params_size += len(content)
         if not content:
+            if partial.params_complete:
+                self._count_stray(content)
             partial.params_complete = True
-        elif not self._budget.can_reserve(len(content)):
-            partial.over_budget = True
-        elif partial.params_complete or len(partial.params) + len(content) > MAX_PARAMS_SIZE:
+        elif partial.params_complete or partial.params_size > MAX_PARAMS_SIZE:
             return self._complete_as_invalid(request_id, RequestError.PARAMS_TOO_LONG)
-        else:
+        elif self._reserve(partial, len(content)):
             partial.params += content
-            self._budget.reserve(len(content))
         return None
 
     def _on_stdin(
@@ -297,15 +327,25 @@
     ) -> RequestComplete | RecordReply | None:
         if not content:
             return self._on_end_of_body(request_id, partial)
-        if not self._budget.can_reserve(len(content)):
-            partial.over_budget = True
-        elif len(partial.body) + len(content) > MAX_BODY_SIZE:
+        partial.body_size += len(content)
+        if partial.body_size > MAX_BODY_SIZE:
             return self._complete_as_invalid(request_id, RequestError.BODY_TOO_LONG)
-        else:
+        if self._reserve(partial, len(content)):
             partial.body += content
-            self._budget.reserve(len(content))
         return None
 
+    def _reserve(self, partial: _PartialRequest, count: int) -> bool:
+        """Reserves memory for more content of a request; returns whether there was enough.
+
+        A request that once found too little is rejected at its end, so all of its content is dropped.
+        """
+        if not partial.over_budget and self._budget.can_reserve(count):
+            self._budget.reserve(count)
+            return True
+        self._budget.release(partial.size())
+        partial.params, partial.body, partial.over_budget = bytearray(), bytearray(), True
+        return False
+
     def _on_end_of_body(self, request_id: int, partial: _PartialRequest) -> RequestComplete | RecordReply:
         self._discard_partial(request_id)
         if partial.over_budget:
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -22,6 +22,8 @@
 from edge_router.runtime.event_log import log_rate_limited
 from edge_router.runtime.timers import Timers
 
+# ms until an attempt is queued again whose client has sent more than could be read at once
+CLIENT_INPUT_DELAY = 1.0
 RESPONSE_ITEMS = 4  # of the RESP array: request id, status, fields, body
 
 
@@ -108,10 +110,18 @@
         return False
 
     def begin_send(self, attempt: Attempt) -> bytes | None:
-        """Mark an attempt as sent and return its bytes; None if it may not be sent any more."""
-        attempt.request.incoming.poll_client()  # the client's disconnect may not have been read yet
+        """Mark an attempt as sent and return its bytes; None if it may not be sent now or any more.
+
+        The client's input is read first, as it may withdraw the request. An attempt whose client sends faster
+        than its input is processed is queued again later.
+        """
+        input_processed = attempt.request.incoming.poll_client()
         if not self.end_unless_sendable(attempt):
             return None
+        if not input_processed:
+            self._detach(attempt)
+            self._timers.call_at(self._clock.now() + CLIENT_INPUT_DELAY, partial(self._enqueue, attempt))
+            return None
         now, instruction = self._clock.now(), attempt.instruction
         ready = self._endpoints.is_ready(instruction.endpoint_id) and self._source_ready(instruction)
         self._accounting.invariants.check_send(attempt, now, ready)
--- a/edge_router/proxy/messages.py
+++ b/edge_router/proxy/messages.py
@@ -37,8 +37,9 @@
     retry_after: float = 0.0  # ms for which a rejected client should wait
 
 
-def no_client_input() -> None:
-    """Does nothing; the default of `poll_client` for a request without a client connection."""
+def no_client_input() -> bool:
+    """Returns True: the default of `poll_client` for a request without a client connection."""
+    return True
 
 
 @dataclass(slots=True, eq=False)
@@ -59,7 +60,8 @@
     body: bytes
     respond: Callable[[FinalResponse], None]
     time_unread: float = 0.0  # ms for which the request may have waited to be read
-    poll_client: Callable[[], None] = no_client_input  # reads and handles what the client has sent meanwhile
+    # Handles what the client has sent meanwhile; returns whether that was all that has arrived.
+    poll_client: Callable[[], bool] = no_client_input
     idempotency_key: str | None = None
 
 
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -120,11 +120,14 @@
         """Shed or route a batch of requests; return whether more are waiting.
 
         Sockets are read between batches, so that a burst of requests does not delay responses. The time for
-        which a request waits here shows whether the router is overloaded.
+        which a request waits here shows whether the router is overloaded. Requests that were withdrawn while
+        they waited take nothing from the batch.
         """
-        for _ in range(min(DECISION_BATCH, len(self._undecided))):
+        decided = 0
+        while self._undecided and decided < DECISION_BATCH:
             received_at, request = self._undecided.popleft()
             if not request.answered:
+                decided += 1
                 self._decide(received_at, request)
         return bool(self._undecided)
 
--- a/edge_router/server/client_acceptor.py
+++ b/edge_router/server/client_acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -32,6 +33,7 @@
 EVICTION_BATCH = 0.125  # fraction of `max_clients` evicted at once, because each search visits every client
 FULL_TABLE_DELAY = 0.01  # seconds until the next search, after one that neither selected nor closed a client
 EVICTION_DELAY = 0.001  # seconds until the next search, after one that selected or closed clients
+ACCEPT_BATCH = 16  # connections accepted at shutdown until other tasks have their turn
 EXHAUSTED_DELAY = 0.05  # seconds before the next accept(2) when descriptors or memory are exhausted
 FINAL_RETRY_DELAY = 0.01  # seconds before the next accept(2) after a local shortage at shutdown
 # Initial value and lower bound of `max_clients`; half of the smallest number of sockets that is configurable.
@@ -86,15 +88,20 @@
         self._scope.cancel()
 
     async def accept_remaining(self, listener: socket.socket, end: float) -> None:
-        """Accepts all pending connections, even if that exceeds `max_clients`.
+        """Accepts all pending connections, even if that exceeds `max_clients`, until `end` at the latest.
 
-        A failed accept(2), caused for example by an aborted connection or a brief lack of descriptors, is
-        retried until `end` (seconds of trio's clock), because closing the listener would reset the other
-        pending connections. If it still fails at `end`, the method returns and leaves them pending.
+        `end` is in seconds of trio's clock; clients may connect faster than they can be accepted. A failed
+        accept(2), caused for example by an aborted connection or a brief lack of descriptors, is retried
+        until then, because closing the listener would reset the other pending connections. Those that are
+        pending at `end` are left so.
         """
-        while True:
+        for count in itertools.count(1):
             try:
                 self._accept_one(listener)
+                if count % ACCEPT_BATCH == 0:
+                    await trio.lowlevel.checkpoint()
+                    if trio.current_time() >= end:
+                        return
             except BlockingIOError:
                 return
             except OSError as error:
--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from enum import Enum, auto
 
 import trio
 
@@ -20,6 +21,8 @@
 LINGER_TIMEOUT = 1.0  # seconds for which a closing connection still reads and discards input
 # Bytes of input that a closing connection processes at most, and after that discards at most.
 MAX_LINGER_BYTES = 1 << 20
+# Turns of one poll; enough for `MAX_OPEN_REQUESTS` requests without bodies that arrived in several reads.
+MAX_POLL_TURNS = 16
 WRITE_TIMEOUT = 10.0  # seconds for which a client may leave its responses unread
 
 
@@ -28,6 +31,14 @@
     return 0.0
 
 
+class _Turn(Enum):
+    """What came of one turn of reading and processing input."""
+
+    NO_INPUT = auto()  # everything that has arrived is processed
+    PROCESSED = auto()  # there may be more
+    END_OF_STREAM = auto()
+
+
 class ClientConnection(ClientSession):
     """A client session on a non-blocking socket; a task completes writes that would have blocked."""
 
@@ -50,7 +61,9 @@
         self._stall_duration = stall_duration
         self._accept_delay = accept_delay
         self._accepted_at = clock()
-        self._receiving = False
+        # ms; no input that the last read left in the socket arrived before; None if it left none
+        self._backlog_since: float | None = None
+        self._closing_bytes = 0  # received since the connection started to close
         self._write_wanted = trio.Event()
         self._scope = trio.CancelScope()
         self._reading = trio.CancelScope()
@@ -117,30 +130,37 @@
                 remaining -= count
 
     async def _read(self) -> CloseReason | str:
-        remaining = MAX_LINGER_BYTES
         while True:
             try:
-                await trio.lowlevel.wait_readable(self._sock)
+                if self._records_left:
+                    await trio.lowlevel.checkpoint()
+                else:
+                    await trio.lowlevel.wait_readable(self._sock)
                 if self._reading.cancel_called:
                     continue  # input after the half-close is not processed
-                count = self._receive()
-                if count is None:
-                    continue
-                if not count:
+                if self._take_turn() is _Turn.END_OF_STREAM:
                     return CloseReason.CLIENT_CLOSED
-                if self._close_reason:
-                    await trio.lowlevel.checkpoint()
-                    remaining -= count
-                    if remaining <= 0:
-                        return self._close_reason
+                if self._close_reason and self._closing_bytes >= MAX_LINGER_BYTES:
+                    return self._close_reason
             except (BufferFullError, FastCgiError) as error:
                 self._close_reason = self._close_reason or str(error)
                 return self._close_reason
             except OSError as error:
                 return str(error) or type(error).__name__
 
+    def _take_turn(self) -> _Turn:
+        """Reads once, unless the last turn left records to process, and processes input for one turn."""
+        if not self._records_left:
+            count = self._receive()
+            if count is None:
+                return _Turn.NO_INPUT
+            if not count:
+                return _Turn.END_OF_STREAM
+        self.on_received()
+        return _Turn.PROCESSED
+
     def _receive(self) -> int | None:
-        """Reads once and processes the input.
+        """Reads once into the buffer.
 
         Returns the number of bytes read, 0 at the end of the stream, or None if no input is available.
         """
@@ -149,6 +169,7 @@
             try:
                 count = self._sock.recv_into(view)
             except BlockingIOError:
+                self._backlog_since = None
                 return None
             except OSError as error:
                 if is_local_failure(error):
@@ -157,40 +178,47 @@
         if count:
             self._buffer.commit(count)
             self._record_unread_time(count == capacity)
-            self._receiving = True
-            try:
-                self.on_received()
-            finally:
-                self._receiving = False
+            if self._close_reason:
+                self._closing_bytes += count
         return count
 
     def _record_unread_time(self, more: bool) -> None:
         """Records how long the last input may have waited; `more` is set if more may be left to read."""
-        received_ago = last_received_ago(self._sock)
+        now, received_ago = self._clock(), last_received_ago(self._sock)
         max_age = max(received_ago or 0.0, self._stall_duration())
-        since_accepted = self._clock() - self._accepted_at
+        if self._backlog_since is not None:
+            max_age = max(max_age, now - self._backlog_since)
+        since_accepted = now - self._accepted_at
         if self.silent and since_accepted < STALL_MEMORY * 1000.0:
             max_age = max(max_age, self._accept_delay + since_accepted)
+        self._backlog_since = now - max_age if more else None
         self._max_unread_time = max_age
         self._final_bytes_unread_time = max_age if more or received_ago is None else received_ago
 
-    def poll_input(self) -> None:
-        """Reads and processes the available input.
+    def poll_input(self) -> bool:
+        """Reads and processes the available input within `MAX_POLL_TURNS`; returns whether that was all.
 
         If the stream has ended or failed, reports the open requests as disconnected; the reading task then
         ends the connection. Starts to close the connection if the input is invalid.
         """
-        if self._receiving or self._reading.cancel_called:
-            return
+        if self._reading.cancel_called:
+            return True
+        if self._processing_input:
+            return False
         try:
-            while (count := self._receive()) is not None:
-                if not count:
+            for _ in range(MAX_POLL_TURNS):
+                turn = self._take_turn()
+                if turn is _Turn.END_OF_STREAM:
                     self._notify_disconnected()
-                    return
+                if turn is not _Turn.PROCESSED:
+                    return True
         except (BufferFullError, FastCgiError) as error:
             self._start_closing(str(error))
+            return True
         except OSError:
             self._notify_disconnected()
+            return True
+        return False
 
     def _start_writing(self) -> None:
         """Starts the writing task on the first blocked write; most connections never need one."""
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -32,6 +32,12 @@
 MAX_BUFFERED_BYTES = 2 * (65_536 + 256 + 8)  # two FastCGI records of the largest size
 MAX_CONTROL_RECORDS = 1000  # management and end records that wait to be written
 MAX_CONSECUTIVE_REJECTIONS = 20  # rejected requests in a row; one more closes the connection
+# Records of no use since the last accepted request, and their bytes; more close the connection.
+MAX_STRAY_RECORDS = 1000
+MAX_STRAY_BYTES = 1 << 20
+# Records, and complete requests among them, that are processed until other connections have their turn.
+MAX_RECORDS_PER_TURN = 128
+MAX_REQUESTS_PER_TURN = 8
 RECEIVE_TIMEOUT = 2000.0  # ms to complete a record or request; clients must get an error within 3 s
 WRITE_SIZE = 65_536  # approximate bytes for one send(2)
 
@@ -80,6 +86,9 @@
         self._max_unread_time = 0.0  # ms, upper bound for all input of the last read
         # Milliseconds for which the last bytes of that input waited; the upper bound if that is unknown.
         self._final_bytes_unread_time = 0.0
+        self._received_at = clock()  # when that read was made
+        self._records_left = False  # the buffer holds complete records, which wait for the next turn
+        self._processing_input = False  # what is to be written then waits for the end of the turn
         self._control_records: deque[bytes] = deque()
         self._responses: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent_bytes = 0  # bytes of `_responses`, reserved in the memory budget
@@ -104,26 +113,50 @@
 
     # Called by the subclass that does the I/O.
 
-    def on_received(self) -> None:
-        """Processes new bytes in the buffer; raises FastCgiError if they break the protocol."""
+    def on_received(self) -> bool:
+        """Processes bytes in the buffer for one turn; raises FastCgiError if they break the protocol.
+
+        Returns whether complete records are left, for which the caller gives it another turn after the other
+        connections had theirs: a client may send faster than its input can be processed.
+        """
         self.silent = False
         now = self.last_used = self._clock()
+        if not self._records_left:
+            self._received_at = now
         buffered_before = len(self._buffer)
-        for event in self._decoder.decode_events(self._buffer):
-            if isinstance(event, RequestComplete) and self._close_reason:
-                self._reject(event.request_id)
-            elif isinstance(event, RequestComplete):
-                self._dispatch_request(event)
-            elif isinstance(event, RequestAborted):
-                self._handler.on_aborted(self, event.request_id)
-            else:
-                self._send_control_record(event.data)
+        self._processing_input = True
+        try:
+            self._process_records()
+        finally:
+            self._processing_input = False
+            self._flush()
         if not len(self._buffer):
             self._partial_since = None
         elif len(self._buffer) < buffered_before or self._partial_since is None:
             self._partial_since = now
         if self._decoder.consecutive_rejections > MAX_CONSECUTIVE_REJECTIONS:
             self._start_closing(CloseReason.TOO_MANY_REJECTED)
+        elif self._decoder.stray_records > MAX_STRAY_RECORDS or self._decoder.stray_bytes > MAX_STRAY_BYTES:
+            self._start_closing(CloseReason.TOO_MANY_STRAY)
+        self._records_left = self._decoder.has_complete_record(self._buffer)
+        return self._records_left
+
+    def _process_records(self) -> None:
+        """Processes records in the buffer up to the limits of one turn."""
+        requests = 0
+        for event in self._decoder.decode_events(self._buffer, MAX_RECORDS_PER_TURN):
+            if isinstance(event, RequestComplete):
+                requests += 1
+                if self._close_reason:
+                    self._reject(event.request_id)
+                else:
+                    self._dispatch_request(event)
+                if requests >= MAX_REQUESTS_PER_TURN:
+                    return
+            elif isinstance(event, RequestAborted):
+                self._handler.on_aborted(self, event.request_id)
+            else:
+                self._send_control_record(event.data)
 
     def on_writable(self) -> None:
         """Continues writing after the socket buffer was full."""
@@ -191,8 +224,12 @@
         if not self._close_reason and (self.is_idle() or self.silent) and not self._has_unread_input():
             self._start_closing(reason)
 
-    def poll_input(self) -> None:
-        """Processes input that has arrived, such as an abort; called right before an attempt is sent."""
+    def poll_input(self) -> bool:
+        """Processes input that has arrived, such as an abort; called right before an attempt is sent.
+
+        Returns whether that was all of it; the rest may withdraw the request of the attempt.
+        """
+        return True
 
     def _has_unread_input(self) -> bool:
         """Whether the socket has unread input."""
@@ -239,9 +276,10 @@
 
         They are limited because some clients resend a rejected request at once.
         """
-        self.time_unread = self._max_unread_time if len(self._buffer) else self._final_bytes_unread_time
+        unread_time = self._max_unread_time if len(self._buffer) else self._final_bytes_unread_time
+        self.time_unread = unread_time + self.last_used - self._received_at
         if self._handler.on_request(self, *event):
-            self._decoder.consecutive_rejections = 0
+            self._decoder.request_accepted()
         else:
             self._decoder.consecutive_rejections += 1
 
@@ -271,7 +309,7 @@
         Once everything is written, stops writing and reading in two cases: the connection is closing and has
         no complete request left, or the client asked not to keep it open and no request is open.
         """
-        while not self._write_blocked:
+        while not self._write_blocked and not self._processing_input:
             if not self._partial_write and not (data := self._next_write()):
                 keep_open = (
                     self._decoder.complete_count()
--- a/edge_router/transport/close_reason.py
+++ b/edge_router/transport/close_reason.py
@@ -17,5 +17,6 @@
     NOTHING_RECEIVED = "no data received in time"
     INCOMPLETE_RECORD = "incomplete record at the receive timeout"
     TOO_MANY_REJECTED = "too many consecutive rejected requests"
+    TOO_MANY_STRAY = "too many records that belong to no request"
     WRITE_TIMEOUT = "the client does not read its responses"
     CONNECT_TIMEOUT = "connect timeout expired"
--- a/edge_router/transport/upstream_channel.py
+++ b/edge_router/transport/upstream_channel.py
@@ -18,6 +18,8 @@
 from edge_router.runtime.system_errors import is_local_failure
 from edge_router.transport.close_reason import CloseReason
 
+MAX_ARRAYS_PER_TURN = 64  # that are processed until other connections have their turn
+
 
 class Socket(Protocol):
     """The methods of a non-blocking socket that channels and client sessions use."""
@@ -75,6 +77,7 @@
         self.local_failure = False  # this host lacked a descriptor, memory, a port or a route for it
         self.connected = False  # it was established, or reset by the peer while connecting
         self.closed = False
+        self.arrays_left = False  # the buffer may hold complete arrays, which wait for the next turn
         self.partial_received_at: float | None = None  # ms, last input of an incomplete response
 
     # Called by the owner.
@@ -107,9 +110,16 @@
         self._flush()
 
     def on_received(self) -> None:
-        """Processes new bytes in the buffer; raises RespError if they are malformed."""
-        for array in self.decoder.decode_arrays(self.buffer):
+        """Processes bytes in the buffer for one turn; raises RespError if they are malformed.
+
+        If `arrays_left` is set then, it has to be called again after the other connections had their turn.
+        """
+        self.arrays_left = False
+        for count, array in enumerate(self.decoder.decode_arrays(self.buffer), 1):
             self._owner.on_message(self, array)
+            if count >= MAX_ARRAYS_PER_TURN:
+                self.arrays_left = True
+                break
         self.partial_received_at = self._clock() if self.decoder.is_partial() or len(self.buffer) else None
 
     def on_writable(self) -> None:
--- a/edge_router/transport/upstream_connection.py
+++ b/edge_router/transport/upstream_connection.py
@@ -87,6 +87,10 @@
         buffer, decoder = self.buffer, self.decoder
         try:
             while True:
+                if self.arrays_left:
+                    await trio.lowlevel.checkpoint()
+                    self.on_received()
+                    continue
                 await trio.lowlevel.wait_readable(self._sock)
                 with buffer.writable_view(max(4096, decoder.missing_bytes(len(buffer)))) as view:
                     try:
--- /dev/null
+++ b/tests/test_client_floods.py
@@ -0,0 +1,302 @@
+"""Clients and caches that send faster than their input is processed must not delay others."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+import trio
+from conftest import make_incoming_request
+from fake_cache import resp_array
+from fastcgi_client import ABORT_REQUEST, BEGIN_REQUEST, PARAMS, STDIN, FastCgiClient, fastcgi_record
+from request_router_harness import Client, RequestRouterHarness
+from router_harness import SETTINGS, RouterHarness
+from test_race_conditions import AcceptingHandler
+from waiting import TEST_TIMEOUT
+
+from edge_router.config.settings_reader import settings_from_json
+from edge_router.protocol.buffer import ReceiveBuffer
+from edge_router.proxy.fastcgi_frontend import FastCgiFrontend
+from edge_router.proxy.request_router import DECISION_BATCH
+from edge_router.runtime.clock import Clock
+from edge_router.runtime.memory_budget import MemoryBudget
+from edge_router.server.client_acceptor import ClientAcceptor
+from edge_router.transport.client_connection import ClientConnection
+from edge_router.transport.client_session import MAX_REQUESTS_PER_TURN, ClientSession
+from edge_router.transport.upstream_channel import MAX_ARRAYS_PER_TURN, UpstreamChannel
+
+FLOOD_TIME = 2.0  # seconds
+TIMEOUT_MS = 1500  # of the usual requests
+ANSWER_SLACK = 0.55  # seconds after a request's time, as in the rule on lost requests
+BEGIN = fastcgi_record(BEGIN_REQUEST, 2, struct.pack(">HB5x", 1, 1))
+# Records that bring no request further: those sent once, and those repeated after them.
+STRAY_RECORDS = {
+    "unknown type": (b"", fastcgi_record(77, 0)),
+    "management": (b"", fastcgi_record(9, 0)),
+    "body of no request": (b"", fastcgi_record(STDIN, 2, b"x" * 64)),
+    "empty parameters": (BEGIN, fastcgi_record(PARAMS, 2)),
+    "withdrawn while incomplete": (b"", BEGIN + fastcgi_record(ABORT_REQUEST, 2)),
+}
+UNKNOWN_TYPE_RECORD, STRAY_BODY = STRAY_RECORDS["unknown type"][1], STRAY_RECORDS["body of no request"][1]
+
+
+@contextlib.contextmanager
+def flood(client: FastCgiClient, first: bytes, repeated: bytes) -> Iterator[None]:
+    """Sends `repeated` over and over, until the router closes the connection or the block ends."""
+    ended = threading.Event()
+
+    def send() -> None:
+        with contextlib.suppress(OSError):
+            client.sock.sendall(first)
+            while not ended.is_set():
+                client.sock.sendall(repeated)
+
+    thread = threading.Thread(target=send, daemon=True)
+    thread.start()
+    yield
+    ended.set()
+    client.sock.close()
+    thread.join()
+
+
+def answer_all(router: RouterHarness) -> None:
+    """Answers every command of the router, in a thread."""
+
+    def answer() -> None:
+        while True:
+            command = router.commands.get()
+            with contextlib.suppress(OSError):
+                command.reply(body=b"served")
+
+    threading.Thread(target=answer, daemon=True).start()
+
+
+def encode(request_id: int) -> bytes:
+    return FastCgiClient.encode_request(FastCgiClient.__new__(FastCgiClient), request_id)
+
+
+# Guards against requests that are lost because one client's endless message keeps the event loop.
+def test_requests_are_answered_in_time_while_another_client_sends_an_endless_message(
+    router: RouterHarness,
+) -> None:
+    answer_all(router)
+    usual, bad = router.connect(), router.connect()
+    first = bad.encode_request(1) + BEGIN + fastcgi_record(PARAMS, 2)
+    with flood(bad, first, fastcgi_record(STDIN, 3) * 50_000):
+        end = time.monotonic() + FLOOD_TIME
+        while time.monotonic() < end:
+            sent_at = time.monotonic()
+            assert usual.request(X_TTL_MS=str(TIMEOUT_MS)).status == 200
+            assert time.monotonic() - sent_at < TIMEOUT_MS / 1000.0 + ANSWER_SLACK
+
+
+class EndlessSocket(socket.socket):
+    """A socket with input that never ends; fails the test after more than any turn may read."""
+
+    remaining = 1 << 23
+
+    def __init__(self, sock: socket.socket, data: bytes) -> None:
+        super().__init__(fileno=sock.detach())
+        self.data = data
+
+    def recv_into(self, buffer: memoryview, nbytes: int = 0, flags: int = 0) -> int:  # type: ignore[override]
+        """Fills the buffer with whole repetitions of the data, at least with one."""
+        count = len(buffer) // len(self.data) * len(self.data)
+        buffer[:count] = self.data * (count // len(self.data))
+        self.remaining -= count
+        assert self.remaining > 0, "the router does not stop reading"
+        return count
+
+
+@contextlib.contextmanager
+def connection_with_endless_input(data: bytes) -> Iterator[tuple[ClientConnection, AcceptingHandler]]:
+    """A client connection, outside an event loop, that receives the data again and again."""
+    ours, theirs = socket.socketpair()
+    handler, budget = AcceptingHandler(), MemoryBudget()
+    budget.limit = 1e6
+    with EndlessSocket(ours, data) as sock, theirs:
+        sock.setblocking(False)
+        yield ClientConnection(sock, handler, Clock().now, budget), handler
+
+
+# Guards against a poll before an attempt that reads for as long as the client sends.
+def test_poll_of_a_client_that_never_stops_sending_returns() -> None:
+    async def poll() -> None:
+        with connection_with_endless_input(STRAY_BODY) as (connection, _):
+            assert not connection.poll_input()
+            connection.poll_input()
+            assert connection.is_closing()
+
+    trio.run(poll)
+
+
+# Guards against one connection's pipelined requests delaying all other connections.
+def test_one_turn_takes_a_bounded_number_of_requests() -> None:
+    handler, budget, (ours, theirs) = AcceptingHandler(), MemoryBudget(), socket.socketpair()
+    budget.limit = 1e6
+    count = 3 * MAX_REQUESTS_PER_TURN
+
+    async def receive() -> None:
+        connection = ClientConnection(ours, handler, Clock().now, budget)
+        theirs.sendall(b"".join(encode(request_id) for request_id in range(1, count + 1)))
+        connection._take_turn()
+        assert handler.request_count == MAX_REQUESTS_PER_TURN
+        assert connection.poll_input()  # nothing is left then
+        assert handler.request_count == count
+
+    with ours, theirs:
+        ours.setblocking(False)
+        trio.run(receive)
+
+
+# Guards against clients that send useless records without end and are never turned away.
+@pytest.mark.parametrize("kind", STRAY_RECORDS)
+def test_client_that_sends_only_stray_records_is_closed(router: RouterHarness, kind: str) -> None:
+    client = router.connect()
+    first, repeated = STRAY_RECORDS[kind]
+    with flood(client, first, repeated * 100):
+        router.wait_until(lambda: router.log_lines("client-connection-error"), "the close")
+    assert "records that belong to no request" in router.log_lines("client-connection-error")[0]
+
+
+# Guards against requests that are lost because stray records are counted over a connection's whole life.
+def test_stray_records_between_requests_are_accepted(router: RouterHarness) -> None:
+    answer_all(router)
+    client = router.connect()
+    for _ in range(3):
+        client.sock.sendall(STRAY_BODY * 800)
+        assert client.request().status == 200
+
+
+class UnreadClient(Client):
+    """A client whose input is processed completely only after some polls."""
+
+    def __init__(self, incomplete_polls: int) -> None:
+        super().__init__()
+        self.incomplete_polls = incomplete_polls
+
+    def poll(self) -> bool:
+        """Returns whether all input is processed."""
+        self.incomplete_polls -= 1
+        return self.incomplete_polls < 0
+
+
+class WritableSocket:
+    """The socket of an established connection to a cache; keeps what was written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.writes = 0
+
+    def send(self, data: bytes | memoryview, /) -> int:
+        """Takes all of the data."""
+        self.writes += 1
+        self.written += bytes(data)
+        return len(data)
+
+    def recv(self, count: int, flags: int, /) -> bytes:
+        """Has no input."""
+        raise BlockingIOError
+
+
+# Guards against an attempt for a request whose abort is behind input that was not processed yet.
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_attempt_waits_until_the_input_of_its_client_is_processed(withdrawn: bool) -> None:
+    harness, client, sock = RequestRouterHarness(), UnreadClient(1), WritableSocket()
+    incoming = make_incoming_request(client.receive)
+    incoming.poll_client = client.poll
+    request = harness.router.on_request(incoming)
+    assert request is not None
+    harness.router.run_decisions()
+    harness.channels[0].on_connected(sock)
+    assert sock.written == b""
+    if withdrawn:
+        harness.router.on_client_disconnected(request)
+    harness.advance(10.0)
+    assert (incoming.request_id.encode() in sock.written) is not withdrawn
+
+
+# Guards against usual requests that wait behind hundreds of withdrawn ones.
+def test_withdrawn_requests_take_nothing_from_a_batch_of_decisions() -> None:
+    harness, usual = RequestRouterHarness(), Client()
+    for number in range(5 * DECISION_BATCH):
+        incoming = make_incoming_request(Client().receive)
+        incoming.request_id = f"{number:016x}"
+        request = harness.router.on_request(incoming)
+        assert request is not None
+        harness.router.on_client_disconnected(request)
+    harness.request(usual)
+    assert len(harness.channels) == 1
+
+
+class MessageCounter:
+    """The owner of a channel; counts the arrays."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def on_message(self, connection: UpstreamChannel, array: list[bytes]) -> None:
+        """Counts an array."""
+        self.count += 1
+
+    def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
+        """Does nothing."""
+
+
+# Guards against a cache that sends answers without end and keeps the event loop.
+def test_responses_of_a_cache_are_processed_in_turns() -> None:
+    owner = MessageCounter()
+    channel = UpstreamChannel(owner, Clock().now)
+    channel.buffer = ReceiveBuffer(1 << 16)
+    channel.buffer.append(resp_array(b"id", b"200", b"-", b"") * (MAX_ARRAYS_PER_TURN + 1))
+    channel.on_received()
+    assert (owner.count, channel.arrays_left) == (MAX_ARRAYS_PER_TURN, True)
+    channel.on_received()
+    assert (owner.count, channel.arrays_left) == (MAX_ARRAYS_PER_TURN + 1, False)
+
+
+class EndlessListener(socket.socket):
+    """A listener with a new connection at each accept, which ends at the next; fails after too many."""
+
+    remaining = 100_000
+    connection: socket.socket | None = None
+
+    def accept(self) -> tuple[socket.socket, object]:
+        """Returns one end of a new connection."""
+        self.remaining -= 1
+        assert self.remaining > 0, "the router does not stop accepting"
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = socket.socketpair()[0]
+        return self.connection, None
+
+
+# Guards against a shutdown that accepts for as long as clients connect and answers nobody.
+def test_accepting_at_shutdown_ends_in_time_while_clients_connect_without_end() -> None:
+    accepted: list[object] = []
+    harness = RequestRouterHarness()
+    frontend = FastCgiFrontend(settings_from_json(SETTINGS), harness.router)
+    acceptor = ClientAcceptor(
+        frontend, harness.clock, harness.timers, harness.budget, lambda: 0, accepted.append
+    )
+
+    async def accept() -> None:
+        with EndlessListener() as listener, trio.fail_after(TEST_TIMEOUT):
+            await acceptor.accept_remaining(listener, trio.current_time() + 0.1)
+
+    trio.run(accept)
+    assert accepted
+
+
+# Guards against a system call for each useless record.
+def test_replies_of_one_turn_are_written_together() -> None:
+    sock = WritableSocket()
+    session = ClientSession(sock, AcceptingHandler(), Clock().now, MemoryBudget())
+    session._buffer.append(UNKNOWN_TYPE_RECORD * 50)
+    session.on_received()
+    assert sock.writes == 1
