Ask again right before a send whether it repeats an attempt that ran meanwhile

Its first attempt waited for a late connection; a second one was sent, ran and was reset; then the first one was sent, 0.75 s after the write ran, with a window of 0.5 s.

Cause: the window was turned into a time when an attempt was created (StartAttempt.start_before), and the check before the first byte compared only that time. A first attempt repeats nothing when it is created, so it had no limit, and attempts that were sent later were not asked for.

Change: AttemptDispatcher asks rules.repeat_denial right before the first byte, with the attempts of the request that were really sent by then: class, window and scope. The policy uses the same function. Same cause elsewhere: the rest of a partly written attempt, which runs when its last byte is written; for requests that are not idempotent it is dropped, with its connection, if the request has ended or the window of another attempt is over.

Why it works: every first byte passes AttemptDispatcher.begin_send, and every further one UpstreamChannel._write_next.

--- a/edge_router/decision/pending_request.py
+++ b/edge_router/decision/pending_request.py
@@ -51,9 +51,12 @@
         self.tried_endpoints: set[EndpointId] = set()
         self.failed_sources: set[EndpointId] = set()
 
-    def first_possible_run(self) -> AttemptRecord | None:
+    def first_possible_run(self) -> rules.PossibleRun | None:
         """The first attempt that may have run."""
-        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
+        for attempt in self.attempts:
+            if attempt.may_have_run:
+                return rules.PossibleRun(attempt.endpoint_id, attempt.started_at)
+        return None
 
     def start_before(self) -> float:
         """The time by which the next attempt has to start; later a cache would not recognise a repeat."""
--- a/edge_router/decision/policy.py
+++ b/edge_router/decision/policy.py
@@ -218,9 +218,8 @@
         if pending.in_flight_attempts() and not self._settings.hedging_allowed:
             return False
         first = pending.first_possible_run()
-        first_endpoint, first_started_at = (first.endpoint_id, first.started_at) if first else (None, None)
-        listed = self.directory.endpoints
-        if not rules.may_repeat(pending.settings, now, first_endpoint, first_started_at, cache, listed):
+        first_endpoint = self.directory.endpoints.get(first.endpoint_id) if first else None
+        if rules.repeat_denial(pending.settings, now, first, first_endpoint, cache):
             return False
         return (
             source_id == cache.endpoint_id
--- a/edge_router/decision/rules.py
+++ b/edge_router/decision/rules.py
@@ -11,8 +11,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 from enum import StrEnum
+from typing import NamedTuple
 
 from edge_router.decision.messages import Endpoint, EndpointId, Outcome
 from edge_router.decision.settings import ClassSettings, DeduplicationScope, Idempotency
@@ -28,6 +28,7 @@
     PURGED = "purged"  # a purge was received after the policy started the attempt
     TIME_OVER = "time-over"  # the request's deadline has passed
     WINDOW_OVER = "window-over"  # the attempt is a repeat, and the deduplication window has passed
+    REPEAT_FORBIDDEN = "repeat-forbidden"  # another attempt may have run, and this cache won't recognise it
     ENDPOINT_NOT_READY = "node-not-ready"  # the cache is draining or removed
     SOURCE_NOT_READY = "source-not-ready"  # the source of its fill is draining or removed
 
@@ -39,6 +40,7 @@
     purged: bool,
     deadline: float,
     start_before: float,
+    repeat_denial: SendDenial | None,
     endpoint_ready: bool,
     source_ready: bool,
 ) -> SendDenial | None:
@@ -46,7 +48,8 @@
 
     `answered`: the request has its final answer, or its client has disconnected. `purged`: a purge was
     received after the policy started the attempt. `deadline`, `start_before`: the times by which the request
-    has to be answered and the attempt has to start.
+    has to be answered and the attempt has to start. `repeat_denial`: the result of the function of this name
+    for the attempts of the request that were sent by now, also those that were created later.
     """
     if answered:
         return SendDenial.ANSWERED
@@ -56,6 +59,8 @@
         return SendDenial.TIME_OVER
     if now >= start_before:
         return SendDenial.WINDOW_OVER
+    if repeat_denial is not None:
+        return repeat_denial
     if not endpoint_ready:
         return SendDenial.ENDPOINT_NOT_READY
     if not source_ready:
@@ -74,34 +79,41 @@
     return first_started_at + settings.deduplication_window
 
 
-def may_repeat(
+class PossibleRun(NamedTuple):
+    """The first attempt of a request that may have run."""
+
+    endpoint_id: EndpointId
+    started_at: float
+
+
+def repeat_denial(
     settings: ClassSettings,
     now: float,
-    first_endpoint: EndpointId | None,
-    first_started_at: float | None,
+    first: PossibleRun | None,
+    first_endpoint: Endpoint | None,
     candidate: Endpoint,
-    listed: Mapping[EndpointId, Endpoint],
-) -> bool:
-    """Whether an attempt may be sent to `candidate`.
+) -> SendDenial | None:
+    """Why an attempt may not be sent to `candidate` after the first one that may have run; None if it may.
 
-    `first_endpoint` and `first_started_at` describe the first attempt that may have run; None allows any
-    candidate. If that endpoint is no longer `listed`, its zone and cell are unknown, and only the same
+    `first` is None if no attempt of the request may have run; this allows any candidate. `first_endpoint` is
+    its endpoint; if that is None, as it is no longer listed, its zone and cell are unknown, and only the same
     endpoint will recognise the repeat.
     """
-    if settings.idempotency is Idempotency.IDEMPOTENT or first_endpoint is None:
-        return True
-    if settings.idempotency is Idempotency.NONE or now >= repeat_until(settings, first_started_at):
-        return False
+    if settings.idempotency is Idempotency.IDEMPOTENT or first is None:
+        return None
+    if settings.idempotency is Idempotency.NONE:
+        return SendDenial.REPEAT_FORBIDDEN
+    if now >= repeat_until(settings, first.started_at):
+        return SendDenial.WINDOW_OVER
     if settings.deduplication_scope is DeduplicationScope.ALL:
-        return True
-    first = listed.get(first_endpoint)
-    if first is None:
-        return candidate.endpoint_id == first_endpoint
-    return (
-        candidate.zone == first.zone
-        if settings.deduplication_scope is DeduplicationScope.ZONE
-        else candidate.cell == first.cell
-    )
+        return None
+    if first_endpoint is None:
+        same_scope = candidate.endpoint_id == first.endpoint_id
+    elif settings.deduplication_scope is DeduplicationScope.ZONE:
+        same_scope = candidate.zone == first_endpoint.zone
+    else:
+        same_scope = candidate.cell == first_endpoint.cell
+    return None if same_scope else SendDenial.REPEAT_FORBIDDEN
 
 
 def may_reject(settings: ClassSettings, may_have_run: bool) -> bool:
--- a/edge_router/discovery/endpoint_table.py
+++ b/edge_router/discovery/endpoint_table.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from edge_router.decision.messages import EndpointId, EndpointState
+from edge_router.decision.messages import Endpoint, EndpointId, EndpointState
 from edge_router.discovery.events import EndpointsChanged, ListedEndpoint
 
 
@@ -53,6 +53,11 @@
         """Records a start of the endpoint: its Unix time and its moment on the router's clock (in ms)."""
         self._starts[endpoint_id] = _StartTime(unix, local)
 
+    def get(self, endpoint_id: EndpointId) -> Endpoint | None:
+        """Returns the endpoint as listed; None if it is not listed."""
+        listed = self._endpoints.get(endpoint_id)
+        return listed.endpoint if listed is not None else None
+
     def contains(self, endpoint_id: EndpointId) -> bool:
         """Whether the endpoint is listed, in any state."""
         return endpoint_id in self._endpoints
--- a/edge_router/model_checker/channels.py
+++ b/edge_router/model_checker/channels.py
@@ -63,6 +63,10 @@
         self.state = "dropped" if self.text == WITHDRAWN else "begun"
         return None if self.text == WITHDRAWN else self.text.encode()
 
+    def may_continue(self) -> bool:
+        """Whether the rest may be written: always."""
+        return True
+
     def on_not_written(self) -> None:
         """The channel reports that none of the command was written."""
         if self.text.encode() in self.machine.sock.written:
--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -110,6 +110,7 @@
     AttemptDispatcher: Fields(
         "_connection_of",
         {
+            "_classes": FIXED,
             "_clock": REFERENCE,
             "_timers": REFERENCE,
             "_endpoints": REFERENCE,
--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -29,7 +29,7 @@
         },
     ),
     UpstreamChannel: Fields(
-        "_queue _partial_write _write_blocked buffer decoder local_failure connected closed "
+        "_queue _partial_write _partial_command _write_blocked buffer decoder local_failure connected closed "
         "partial_received_at",
         {
             "_owner": REFERENCE,
@@ -77,6 +77,7 @@
     return (
         tuple(encode_command(command, frame) for command in channel._queue),
         channel._partial_write,
+        encode_command(channel._partial_command, frame) if channel._partial_command else (),
         channel._write_blocked,
         bytes(buffer._data[buffer._start : buffer._end]),
         tuple(decoder._items),
--- a/edge_router/model_checker/mutations/decision.py
+++ b/edge_router/model_checker/mutations/decision.py
@@ -37,8 +37,8 @@
     Mutation(
         "repeat-whatever-class",
         rules,
-        "may_repeat",
-        "if settings.idempotency is Idempotency.IDEMPOTENT or first_endpoint is None:",
+        "repeat_denial",
+        "if settings.idempotency is Idempotency.IDEMPOTENT or first is None:",
         "if True:",
         ("confirm", "keyed"),
         "no-repeat",
@@ -55,8 +55,8 @@
     Mutation(
         "group-forgotten",
         rules,
-        "may_repeat",
-        "candidate.cell == first.cell",
+        "repeat_denial",
+        "candidate.cell == first_endpoint.cell",
         "True",
         ("keyed",),
         "no-repeat",
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -9,6 +9,8 @@
 
 from edge_router.decision import rules
 from edge_router.decision.messages import Outcome, StartAttempt
+from edge_router.decision.rules import SendDenial
+from edge_router.decision.settings import Idempotency, Settings
 from edge_router.discovery.endpoint_table import EndpointTable
 from edge_router.protocol import resp
 from edge_router.proxy.accounting import RequestAccounting
@@ -32,6 +34,7 @@
 
     def __init__(
         self,
+        settings: Settings,
         clock: Clock,
         timers: Timers,
         endpoints: EndpointTable,
@@ -39,6 +42,7 @@
         accounting: RequestAccounting,
         response_handler: ResponseHandler,
     ) -> None:
+        self._classes = settings.classes
         self._clock, self._timers, self._endpoints = clock, timers, endpoints
         self._accounting, self._response_handler = accounting, response_handler
         self.pool = pool
@@ -68,7 +72,7 @@
             return
         connection.attempts[request_id] = attempt
         self._connection_of[attempt] = connection
-        connection.channel.send(FetchCommand(self.begin_send, attempt))
+        connection.channel.send(FetchCommand(self.begin_send, self.may_complete_send, attempt))
 
     def _source_ready(self, instruction: StartAttempt) -> bool:
         """Return whether the source of a fill, if it is another endpoint, is listed as ready."""
@@ -76,13 +80,26 @@
             instruction.source_id
         )
 
+    def _repeat_denial(self, attempt: Attempt) -> SendDenial | None:
+        """Return why an attempt may not be sent now after others of its request; None if it may.
+
+        It is asked when the attempt is sent, not when it is created, as a later attempt may overtake it.
+        """
+        first = attempt.request.first_possible_run(attempt)
+        candidate = self._endpoints.get(attempt.instruction.endpoint_id)
+        if first is None or candidate is None:  # an endpoint that is not listed is not ready
+            return None
+        class_settings = self._classes[attempt.request.incoming.class_index]
+        first_endpoint = self._endpoints.get(first.endpoint_id)
+        return rules.repeat_denial(class_settings, self._clock.now(), first, first_endpoint, candidate)
+
     def end_unless_sendable(self, attempt: Attempt) -> bool:
         """End an attempt as not sent unless it may still be sent; return whether it may.
 
         An attempt is checked when it is queued, after each discovery event, when its client disconnects and
         right before its first byte. After the policy started it, endpoints may drain, its request may be
-        answered, a purge may arrive, and its deadline or the deduplication window may pass. An unsent attempt
-        is ended even if the settings forbid cancellation.
+        answered, a purge may arrive, another attempt may overtake it, and its deadline or the deduplication
+        window may pass. An unsent attempt is ended even if the settings forbid cancellation.
         """
         if attempt.ended:
             return False
@@ -93,6 +110,7 @@
             purged=attempt.purged,
             deadline=instruction.deadline,
             start_before=instruction.start_before,
+            repeat_denial=self._repeat_denial(attempt),
             endpoint_ready=self._endpoints.is_ready(instruction.endpoint_id),
             source_ready=self._source_ready(instruction),
         )
@@ -128,6 +146,17 @@
         attempt.sent_at = now
         return encode_fetch(attempt, now)
 
+    def may_complete_send(self, attempt: Attempt) -> bool:
+        """Return whether the rest of an attempt may be written, of which the first bytes were written before.
+
+        It reaches the cache, and runs there, only with its last byte. That may be after another attempt has
+        run and its deduplication window is over, or after the request has its final answer.
+        """
+        class_settings = self._classes[attempt.request.incoming.class_index]
+        if class_settings.idempotency is Idempotency.IDEMPOTENT:
+            return True
+        return not attempt.ended and self._repeat_denial(attempt) is None
+
     def cancel(self, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
         """End an attempt; if it was sent, also send an `abort` command with its request id."""
         connection = self._connection_of.get(attempt)
--- a/edge_router/proxy/fetch_command.py
+++ b/edge_router/proxy/fetch_command.py
@@ -50,12 +50,17 @@
     """A `fetch` command in a connection's queue; its attempt is checked again right before its first byte."""
 
     begin_send: Callable[[Attempt], bytes | None]  # None: the attempt may not be sent
+    may_complete_send: Callable[[Attempt], bool]
     attempt: Attempt
 
     def encode(self) -> bytes | None:
         """Mark the attempt as sent and return its bytes, or None if it may not be sent any more."""
         return self.begin_send(self.attempt)
 
+    def may_continue(self) -> bool:
+        """Return whether the rest of the command may still be written."""
+        return self.may_complete_send(self.attempt)
+
     def on_not_written(self) -> None:
         """Record that not a single byte was written, which proves that the attempt did not run."""
         self.attempt.sent_at = None
@@ -71,5 +76,9 @@
         """Return the bytes of the `abort` command."""
         return resp.encode(b"abort", self.request_id.encode())
 
+    def may_continue(self) -> bool:
+        """Return True: an abort does no harm at any time."""
+        return True
+
     def on_not_written(self) -> None:
         """Do nothing: the attempt has already ended, and the command stays queued."""
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -85,7 +85,7 @@
         )
         pool = ConnectionPool(clock, timers, self.endpoints, settings, self.accounting.counts, connect)
         self.dispatcher = AttemptDispatcher(
-            clock, timers, self.endpoints, pool, self.accounting, self.response_handler
+            settings, clock, timers, self.endpoints, pool, self.accounting, self.response_handler
         )
         self._discovery_updates = DiscoveryUpdates(
             clock, self.peer_clock, self.endpoints, self.purges, self.requests, self.dispatcher, self.post
--- a/edge_router/proxy/request_table.py
+++ b/edge_router/proxy/request_table.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from edge_router.decision.messages import Outcome, StartAttempt
-from edge_router.decision.rules import PROVES_NOT_RUN
+from edge_router.decision.rules import PROVES_NOT_RUN, PossibleRun
 from edge_router.proxy.messages import IncomingRequest
 from edge_router.runtime.timers import TimerHandle
 
@@ -54,6 +54,16 @@
     ended_by_shutdown: bool = False  # no further attempt is sent
     attempts: list[Attempt] = field(default_factory=list)
 
+    def first_possible_run(self, other_than: Attempt) -> PossibleRun | None:
+        """Return the attempt that was sent first of those, except the given one, that may have run."""
+        if len(self.attempts) < 2:
+            return None
+        sent = [attempt for attempt in self.attempts if attempt is not other_than and attempt.may_have_run()]
+        if not sent:
+            return None
+        first = min(sent, key=lambda attempt: attempt.started_at)
+        return PossibleRun(first.instruction.endpoint_id, first.started_at)
+
 
 class RequestTable:
     """All active requests, by number and by request id."""
--- a/edge_router/transport/close_reason.py
+++ b/edge_router/transport/close_reason.py
@@ -19,4 +19,5 @@
     TOO_MANY_REJECTED = "too many consecutive rejected requests"
     TOO_MANY_STRAY = "too many records that belong to no request"
     WRITE_TIMEOUT = "the client does not read its responses"
+    COMMAND_WITHDRAWN = "the rest of a partly written command must not be sent"
     CONNECT_TIMEOUT = "connect timeout expired"
--- a/edge_router/transport/upstream_channel.py
+++ b/edge_router/transport/upstream_channel.py
@@ -40,6 +40,12 @@
     def encode(self) -> bytes | None:
         """Called right before the first byte is written; returns the bytes, or None to drop the command."""
 
+    def may_continue(self) -> bool:
+        """Called before more bytes are written of a command that was partly written.
+
+        If it is False, the channel closes, as nothing else may follow on it.
+        """
+
     def on_not_written(self) -> None:
         """Called if no byte could be written.
 
@@ -69,6 +75,7 @@
         self._sock: Socket
         self._queue: deque[OutgoingCommand] = deque()
         self._partial_write = b""  # the unwritten rest of the current command
+        self._partial_command: OutgoingCommand | None = None  # the command that this rest belongs to
         self._flushing = False
         self._write_blocked = False  # until `on_writable`
         self._close_reason: CloseReason | str = CloseReason.CLOSED_LOCALLY
@@ -178,7 +185,12 @@
 
     def _write_next(self) -> None:
         command = None
-        if not self._partial_write:
+        if self._partial_write:
+            if self._partial_command is not None and not self._partial_command.may_continue():
+                self._close_reason = CloseReason.COMMAND_WITHDRAWN
+                self.close()
+                return
+        else:
             if self._closed_by_server():
                 return
             command = self._queue.popleft()
@@ -197,6 +209,7 @@
                 self.close()
         if sent or command is None:
             self._partial_write = self._partial_write[sent:]
+            self._partial_command = (command or self._partial_command) if self._partial_write else None
         else:
             command.on_not_written()
             self._partial_write = b""
--- a/tests/request_router_harness.py
+++ b/tests/request_router_harness.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from typing import Any
+
 from conftest import make_incoming_request
 from router_harness import SETTINGS
 
@@ -27,19 +30,42 @@
         self.responses.append(response)
 
 
+class WritableSocket:
+    """The socket of an established connection to a cache; keeps what was written."""
+
+    def __init__(self, writable_bytes: float = math.inf) -> None:
+        self.writable_bytes = writable_bytes
+        self.written = b""
+        self.writes = 0
+
+    def send(self, data: bytes | memoryview, /) -> int:
+        """Takes up to `writable_bytes` of the data."""
+        count = int(min(self.writable_bytes, len(data)))
+        if not count:
+            raise BlockingIOError
+        self.writable_bytes -= count
+        self.written += bytes(data[:count])
+        self.writes += 1
+        return count
+
+    def recv(self, count: int, flags: int, /) -> bytes:
+        """Has no input."""
+        raise BlockingIOError
+
+
 class RequestRouterHarness:
     """A request router with two caches and an origin, whose connections are never established."""
 
-    def __init__(self) -> None:
+    def __init__(self, **settings: Any) -> None:
+        """`settings` replace entries of the configuration's settings."""
         self._monotonic = 1000.0  # seconds
         self.clock = Clock(lambda: self._monotonic, lambda: 1000.0)
         self.timers = Timers(self.clock, lambda: self._monotonic)
         self.budget = MemoryBudget()
         self.budget.limit = 1e9
         self.channels: list[UpstreamChannel] = []
-        self.router = RequestRouter(
-            settings_from_json(SETTINGS), 7, self.clock, self.timers, self.budget, 0.0, self._connect
-        )
+        typed = settings_from_json({**SETTINGS, **settings})
+        self.router = RequestRouter(typed, 7, self.clock, self.timers, self.budget, 0.0, self._connect)
         self.router.dispatcher.pool.max_connections = 8
         endpoints = ((0x10, 0, 1), (0x11, 0, 1), (0x30, 2, 0))  # id, role and zone
         self.router.on_discovery_event(
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -14,7 +14,7 @@
 from conftest import make_incoming_request
 from fake_cache import resp_array
 from fastcgi_client import ABORT_REQUEST, BEGIN_REQUEST, PARAMS, STDIN, FastCgiClient, fastcgi_record
-from request_router_harness import Client, RequestRouterHarness
+from request_router_harness import Client, RequestRouterHarness, WritableSocket
 from router_harness import SETTINGS, RouterHarness
 from test_race_conditions import AcceptingHandler
 from waiting import TEST_TIMEOUT
@@ -186,24 +186,6 @@
         return self.incomplete_polls < 0
 
 
-class WritableSocket:
-    """The socket of an established connection to a cache; keeps what was written."""
-
-    def __init__(self) -> None:
-        self.written = b""
-        self.writes = 0
-
-    def send(self, data: bytes | memoryview, /) -> int:
-        """Takes all of the data."""
-        self.writes += 1
-        self.written += bytes(data)
-        return len(data)
-
-    def recv(self, count: int, flags: int, /) -> bytes:
-        """Has no input."""
-        raise BlockingIOError
-
-
 # Guards against an attempt for a request whose abort is behind input that was not processed yet.
 @pytest.mark.parametrize("withdrawn", [False, True])
 def test_attempt_waits_until_the_input_of_its_client_is_processed(withdrawn: bool) -> None:
