Bound the memory of receive buffers and of incomplete requests

Cause: the memory budget did not count receive buffers, up to 131 KB a client and 266 KB a connection to a cache. An idle connection kept the buffer of its last large answer, and incomplete requests could use the whole budget.

Evidence: 29 MiB resident when ready, 50 MiB after the burst with nothing open, 65 MiB when killed. A fixed MALLOC_MMAP_THRESHOLD_ changed neither peak, which rules out memory lost between freed blocks.

Change: both decoders take content out of the buffer as it arrives, so buffers have at most 16 KB (clients) and 64 KB (caches), and are given back as soon as they are empty. Incomplete requests get half of the budget, and the budget at most half of what the program leaves of the limit. Same cause elsewhere: arrays of 16 items of 256 KB each, cancelled timers that stay for up to a minute, 1,000 waiting control records of a client that does not read.

Why it works: what a peer can make the router hold is now either in the budget or bounded by a small size for each connection.

--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -149,7 +149,7 @@
     endpoint_table.EndpointTable: Fields(
         "_endpoints", {"_starts": "not needed, as peers and router share one clock in the model"}
     ),
-    MemoryBudget: Fields("limit _used", {}),
+    MemoryBudget: Fields("limit _used _incomplete", {}),
 }
 
 
@@ -176,6 +176,7 @@
         router.dispatcher.pool.max_connections,
         budget.limit,
         budget._used,
+        budget._incomplete,
     )
 
 
--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -22,6 +22,7 @@
             "_clock": REFERENCE,
             "_monotonic": REFERENCE,
             "_wake": REFERENCE,
+            "_compact_at": "no model sets as many timers",
             "_sequence": "timers are encoded in the order in which they fire, also at equal times",
             "_last_run": "only used for the time that bytes wait unread, which is 0 in the model",
             "_stall_start": "only used for the time that bytes wait unread, which is 0 in the model",
@@ -40,7 +41,7 @@
             "_close_reason": REPORTED,
         },
     ),
-    RespDecoder: Fields("_items _missing_items _bulk_size", {}),
+    RespDecoder: Fields("_items _missing_items _bulk_size _bulk", {"_array_size": "follows from the items"}),
     ClientSession: Fields(
         "_decoder _buffer _close_reason _partial_since silent _control_records _responses _unsent_bytes "
         "_partial_write _write_blocked _client_stalled closing finished",
@@ -60,8 +61,9 @@
         },
     ),
     fastcgi.FastCgiDecoder: Fields(
-        "_partial_requests open_ids consecutive_rejections keep_connection",
+        "_partial_requests open_ids consecutive_rejections keep_connection _record",
         {
+            "completed_records": "only compared before and after one read",
             "_budget": REFERENCE,
             "_clock": REFERENCE,
             "stray_records": "clients of the model send too few records to reach the limit",
@@ -83,6 +85,7 @@
         tuple(decoder._items),
         decoder._missing_items,
         decoder._bulk_size,
+        bytes(decoder._bulk),
         channel.local_failure,
         channel.connected,
         channel.closed,
@@ -98,6 +101,7 @@
         tuple(sorted(decoder._partial_requests)),
         decoder.consecutive_rejections,
         decoder.keep_connection,
+        decoder._record is not None and (decoder._record.request_id, decoder._record.missing),
         len(session._buffer),
         str(session._close_reason or ""),
         frame.time(session._partial_since or 0.0),
--- a/edge_router/protocol/buffer.py
+++ b/edge_router/protocol/buffer.py
@@ -1,4 +1,4 @@
-"""The receive buffer of a connection, which grows as needed and is compacted in place."""
+"""The receive buffer of a connection: it grows as needed, and gives its memory back once it is empty."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 from typing import Any
 
 INITIAL_SIZE = 4096  # bytes of a new buffer, and the default minimum size of a view to receive into
-MAX_IDLE_SIZE = 65_536  # bytes; an empty buffer larger than this is replaced by a new one
 
 
 class BufferFullError(Exception):
@@ -34,8 +33,6 @@
         """
         if self._start == self._end:
             self._start = self._end = 0
-            if len(self._data) > MAX_IDLE_SIZE:
-                self._data = bytearray(INITIAL_SIZE)
         if len(self._data) - self._end < min_size and self._start:
             unread = self._end - self._start
             self._data[:unread] = self._data[self._start : self._end]
@@ -44,9 +41,17 @@
             size = min(self._max_size, max(2 * len(self._data), self._end + min_size))
             if size <= self._end:
                 raise BufferFullError(f"receive buffer is full: {self._end} bytes are unread")
-            self._data.extend(bytes(size - len(self._data)))
+            data = bytearray(size)  # of exactly this size; extending it would allocate more
+            data[: self._end] = memoryview(self._data)[: self._end]
+            self._data = data
         return memoryview(self._data)[self._end :]
 
+    def shrink(self) -> None:
+        """Gives the memory of an empty buffer back, as its connection may rest for long."""
+        if self._start == self._end and len(self._data) > INITIAL_SIZE:
+            self._data = bytearray(INITIAL_SIZE)
+            self._start = self._end = 0
+
     def commit(self, count: int) -> None:
         """Marks `count` bytes of the last view as received."""
         self._end += count
--- a/edge_router/protocol/fastcgi.py
+++ b/edge_router/protocol/fastcgi.py
@@ -57,8 +57,11 @@
 MAX_OPEN_REQUESTS = 32  # on one connection
 MAX_PARAMS_SIZE = 32_768  # bytes
 MAX_BODY_SIZE = 65_536  # bytes
+MAX_CONTROL_CONTENT = 1024  # bytes of a record that is not part of a stream
 MAX_RECORD_CONTENT = 16_384  # bytes of a response in one record; small, so that responses interleave
 
+# The content of these is consumed in parts; the others are needed whole, and are short.
+_STREAM_TYPES = frozenset((RecordType.PARAMS, RecordType.STDIN, RecordType.DATA))
 _HEADER = struct.Struct(">BBHHBB")
 _BEGIN = struct.Struct(">HB5x")
 _END = struct.Struct(">IB3x")
@@ -110,6 +113,17 @@
 DecoderEvent = RequestComplete | RequestAborted | RecordReply
 
 
+@dataclass(slots=True)
+class _PartialRecord:
+    """A record of which the header has been received, and not all of the rest."""
+
+    record_type: int
+    request_id: int
+    missing: int  # bytes of the content that were not consumed yet
+    padding: int
+    is_empty: bool  # it has no content
+
+
 @dataclass(slots=True)
 class _PartialRequest:
     """A request of which not all records have been received."""
@@ -197,6 +211,8 @@
         self._budget = budget
         self._clock = clock
         self._partial_requests: dict[int, _PartialRequest] = {}
+        self._record: _PartialRecord | None = None
+        self.completed_records = 0  # since the connection was opened
         self.open_ids: set[int] = set()  # ids in use, until their END_REQUEST is written
         # Requests rejected in a row, here or by the handler. The session counts the latter, and resets the
         # number after each accepted request. Requests that are not complete in time do not count.
@@ -219,34 +235,58 @@
         """Starts the counts of rejected requests and stray records again, as the handler took a request."""
         self.consecutive_rejections = self.stray_records = self.stray_bytes = 0
 
-    @staticmethod
-    def has_complete_record(buffer: ReceiveBuffer) -> bool:
-        """Returns whether the buffer begins with a complete record."""
-        if len(buffer) < _HEADER.size:
-            return False
-        _, _, _, length, padding, _ = buffer.peek_struct(_HEADER)
-        return len(buffer) >= _HEADER.size + int(length) + int(padding)
+    def in_record(self) -> bool:
+        """Returns whether a record has begun, of which not all content has been received."""
+        return self._record is not None
 
     def decode_events(self, buffer: ReceiveBuffer, max_records: int | None = None) -> Iterator[DecoderEvent]:
-        """Consumes the complete records in the buffer, at most `max_records` of them.
+        """Consumes what the buffer holds, up to the end of `max_records` records.
 
-        Raises FastCgiError if they break the protocol.
+        The content of a record is consumed as it arrives, so that the buffer stays small. Raises FastCgiError
+        if the records break the protocol.
         """
-        consumed = 0
-        while len(buffer) >= _HEADER.size and consumed != max_records:
-            version, record_type, request_id, length, padding, _ = buffer.peek_struct(_HEADER)
-            if version != PROTOCOL_VERSION:
-                raise FastCgiError(f"unsupported protocol version {version}")
-            if len(buffer) < _HEADER.size + length + padding:
+        end = None if max_records is None else self.completed_records + max_records
+        while self.completed_records != end:
+            record_begun = self._record or self._begin_record(buffer)
+            if record_begun is None:
+                return
+            if (content := self._read_content(record_begun, buffer)) and (
+                event := self._on_content(record_begun.record_type, record_begun.request_id, content)
+            ):
+                yield event
+            padding = record_begun.padding
+            if record_begun.missing or len(buffer) < padding:
                 return
-            buffer.skip(_HEADER.size)
-            content = buffer.read(length)
             buffer.skip(padding)
-            consumed += 1
-            event = self._on_record(record_type, request_id, content)
-            if event is not None:
+            self._record = None
+            self.completed_records += 1
+            if record_begun.is_empty and (
+                event := self._on_content(record_begun.record_type, record_begun.request_id, b"")
+            ):
                 yield event
 
+    def _begin_record(self, buffer: ReceiveBuffer) -> _PartialRecord | None:
+        """Consumes the header of a record; returns None if it is not complete yet."""
+        if len(buffer) < _HEADER.size:
+            return None
+        version, record_type, request_id, length, padding, _ = buffer.peek_struct(_HEADER)
+        if version != PROTOCOL_VERSION:
+            raise FastCgiError(f"unsupported protocol version {version}")
+        if record_type not in _STREAM_TYPES and length > MAX_CONTROL_CONTENT:
+            raise FastCgiError(f"content of {length} bytes in a record of type {record_type}")
+        buffer.skip(_HEADER.size)
+        self._record = _PartialRecord(record_type, request_id, length, padding, not length)
+        return self._record
+
+    @staticmethod
+    def _read_content(record_begun: _PartialRecord, buffer: ReceiveBuffer) -> bytes:
+        """Consumes the content that has arrived; nothing of one that is needed whole before all of it has."""
+        if record_begun.record_type not in _STREAM_TYPES and len(buffer) < record_begun.missing:
+            return b""
+        content = buffer.read(record_begun.missing)
+        record_begun.missing -= len(content)
+        return content
+
     def expire_partial(self, started_before: float) -> Iterator[RequestComplete]:
         """Yields, as invalid, the partial requests that began before this time (ms on the clock)."""
         for request_id in [
@@ -261,7 +301,8 @@
         for request_id in list(self._partial_requests):
             self._discard_partial(request_id)
 
-    def _on_record(self, record_type: int, request_id: int, content: bytes) -> DecoderEvent | None:
+    def _on_content(self, record_type: int, request_id: int, content: bytes) -> DecoderEvent | None:
+        """Handles the content of a record, or a part of it if its type is in `_STREAM_TYPES`."""
         if record_type == RecordType.GET_VALUES:
             self._count_stray(content)
             return RecordReply(_get_values_result(content))
@@ -339,10 +380,10 @@
 
         A request that once found too little is rejected at its end, so all of its content is dropped.
         """
-        if not partial.over_budget and self._budget.can_reserve(count):
-            self._budget.reserve(count)
+        if not partial.over_budget and self._budget.can_reserve_incomplete(count):
+            self._budget.reserve_incomplete(count)
             return True
-        self._budget.release(partial.size())
+        self._budget.release_incomplete(partial.size())
         partial.params, partial.body, partial.over_budget = bytearray(), bytearray(), True
         return False
 
@@ -370,4 +411,4 @@
 
     def _discard_partial(self, request_id: int) -> None:
         """Removes a partial request and releases its memory."""
-        self._budget.release(self._partial_requests.pop(request_id).size())
+        self._budget.release_incomplete(self._partial_requests.pop(request_id).size())
--- a/edge_router/protocol/resp.py
+++ b/edge_router/protocol/resp.py
@@ -11,7 +11,8 @@
 from edge_router.protocol.buffer import ReceiveBuffer
 
 MAX_ITEMS = 16  # bulk strings in one array
-MAX_BULK_SIZE = 1 << 18  # bytes
+MAX_BULK_SIZE = 1 << 18  # bytes, also of all bulk strings of one array together
+MAX_READ_SIZE = 65_536  # bytes that are buffered before they are moved to the bulk string that they belong to
 MAX_LINE_SIZE = 32  # bytes of a length line such as `*4` or `$16`, with its line end
 
 _LINE_END = b"\r\n"
@@ -35,13 +36,18 @@
         self._items: list[bytes] = []
         self._missing_items = 0
         self._bulk_size: int | None = None  # size of the item that comes next, once its length line was read
+        self._bulk = bytearray()  # the bytes of that item received so far
+        self._array_size = 0  # announced sizes of the items of this array so far
 
     def missing_bytes(self, unread: int) -> int:
-        """Returns how many bytes the partial item still needs, so that a long item takes few reads.
+        """Returns how many bytes to read for the partial item at most, so that a long item takes few reads.
 
         `unread` is the number of bytes in the buffer that were not consumed yet.
         """
-        return 0 if self._bulk_size is None else max(0, self._bulk_size + len(_LINE_END) - unread)
+        if self._bulk_size is None:
+            return 0
+        missing = self._bulk_size + len(_LINE_END) - len(self._bulk) - unread
+        return min(MAX_READ_SIZE, max(0, missing))
 
     def is_partial(self) -> bool:
         """Whether an array has begun and is not complete."""
@@ -71,16 +77,21 @@
                 count = self._read_length(buffer, b"*", 1, MAX_ITEMS)
                 if count is None:
                     return
-                self._missing_items, self._items = count, []
+                self._missing_items, self._items, self._array_size = count, [], 0
             elif self._bulk_size is None:
                 size = self._read_length(buffer, b"$", 0, MAX_BULK_SIZE)
                 if size is None:
                     return
+                self._array_size += size
+                if self._array_size > MAX_BULK_SIZE:
+                    raise RespError("array is too long")
                 self._bulk_size = size
             else:
-                if len(buffer) < self._bulk_size + len(_LINE_END):
+                self._bulk += buffer.read(self._bulk_size - len(self._bulk))
+                if len(self._bulk) < self._bulk_size or len(buffer) < len(_LINE_END):
                     return
-                self._items.append(buffer.read(self._bulk_size))
+                self._items.append(bytes(self._bulk))
+                self._bulk = bytearray()
                 if buffer.read(len(_LINE_END)) != _LINE_END:
                     raise RespError("bulk string does not end after its announced length")
                 self._missing_items, self._bulk_size = self._missing_items - 1, None
--- a/edge_router/runtime/memory_budget.py
+++ b/edge_router/runtime/memory_budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# Fraction of the limit for requests that are not complete; the rest is kept for those that can be answered.
+INCOMPLETE_SHARE = 0.5
+
 
 class MemoryBudget:
     """The bytes reserved in the whole process, which the platform kills if it uses too much memory.
@@ -12,6 +15,7 @@
     def __init__(self) -> None:
         self.limit = 0.0
         self._used = 0
+        self._incomplete = 0  # reserved bytes of incomplete requests
 
     @property
     def used(self) -> int:
@@ -22,6 +26,20 @@
         """Whether `count` more bytes fit within the limit."""
         return self._used + count <= self.limit
 
+    def can_reserve_incomplete(self, count: int) -> bool:
+        """Whether `count` more bytes of an incomplete request fit within the limit and its share of it."""
+        return self.can_reserve(count) and self._incomplete + count <= self.limit * INCOMPLETE_SHARE
+
+    def reserve_incomplete(self, count: int) -> None:
+        """Reserves `count` bytes for an incomplete request."""
+        self._incomplete += count
+        self.reserve(count)
+
+    def release_incomplete(self, count: int) -> None:
+        """Releases `count` bytes that were reserved for an incomplete request."""
+        self._incomplete -= count
+        self.release(count)
+
     def reserve(self, count: int) -> None:
         """Reserves `count` bytes, even beyond the limit."""
         self._used += count
--- a/edge_router/runtime/timers.py
+++ b/edge_router/runtime/timers.py
@@ -10,6 +10,7 @@
 from edge_router.runtime.event_log import log
 
 LATE_TIMER_TOLERANCE = 0.02  # seconds; the loop's granularity is finer, so a later timer shows a stall
+MIN_COMPACTED_TIMERS = 1024  # fewer timers are never searched for cancelled ones
 STALL_MEMORY = 0.2  # seconds after a stall; bytes read within it may have arrived during the stall
 
 
@@ -44,6 +45,7 @@
         self._monotonic = monotonic
         self._wake = wake
         self._heap: list[tuple[float, int, TimerHandle]] = []
+        self._compact_at = MIN_COMPACTED_TIMERS  # number of timers at which the cancelled ones are dropped
         self._sequence = 0  # orders timers that are due at the same time
         self._last_run = monotonic()
         self._stall_start = 0.0  # latest time known to precede the last stall
@@ -52,6 +54,8 @@
     def call_at(self, moment: float, callback: Callable[[], None]) -> TimerHandle:
         """Schedules a callback for a moment of `Clock` (ms); it never runs before this call returns."""
         handle = TimerHandle(callback)
+        if len(self._heap) >= self._compact_at:
+            self._drop_cancelled()
         due = self._monotonic() + (moment - self._clock.now()) / 1000.0
         self._sequence += 1
         entry = (due, self._sequence, handle)
@@ -60,6 +64,12 @@
             self._wake()
         return handle
 
+    def _drop_cancelled(self) -> None:
+        """Drops the cancelled timers, which else keep their memory until they would have been due."""
+        self._heap = [entry for entry in self._heap if entry[2].callback is not None]
+        heapq.heapify(self._heap)
+        self._compact_at = max(MIN_COMPACTED_TIMERS, 2 * len(self._heap))
+
     def next_due(self) -> float:
         """Returns when the next timer is due (s on the monotonic clock); infinite if there is none."""
         while self._heap and self._heap[0][2].callback is None:
--- a/edge_router/server/config_applier.py
+++ b/edge_router/server/config_applier.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from edge_router.config.platform_file import RouterConfig
 from edge_router.config.reload import check_same_router
 from edge_router.discovery.change_log_watcher import ChangeLogWatcher
@@ -10,10 +12,14 @@
 from edge_router.runtime.event_log import log
 from edge_router.runtime.memory_budget import MemoryBudget
 from edge_router.server.client_acceptor import MIN_CLIENTS, ClientAcceptor
+from edge_router.server.memory_gauge import MemoryGauge
 
-# Fraction of the memory limit that buffered requests and responses may use. The rest is for the interpreter
-# and for copies of their data, which the memory budget does not count.
+# Fractions of the memory limit, and of what the program leaves of it when it is ready, that buffered requests
+# and responses may use. The rest is for the state of requests and connections, for the buffers of those that
+# receive, and for copies of data, which the memory budget does not count.
 BUFFER_MEMORY_SHARE = 0.25
+BUFFER_HEADROOM_SHARE = 0.5
+MIN_BUFFER_BYTES = 1e6  # one request with its response, also where the program needs nearly all of the limit
 RESTART_FIELDS = ("transfer_bandwidth", "settings")  # fields of `RouterConfig` that only a restart changes
 
 
@@ -33,12 +39,22 @@
         self._router = router
         self._acceptor = acceptor
         self._change_log = change_log
+        gauge = MemoryGauge()
+        self._program_mb = gauge.resident_mb()  # before the first request; NaN if it is not known
+        gauge.close()
+
+    def buffer_limit(self, memory_mb: float) -> float:
+        """Returns how many bytes requests and responses may use under a memory limit in MB (10**6 bytes)."""
+        limit = memory_mb * BUFFER_MEMORY_SHARE
+        if not math.isnan(self._program_mb):
+            limit = min(limit, (memory_mb - self._program_mb) * BUFFER_HEADROOM_SHARE)
+        return max(MIN_BUFFER_BYTES, limit * 1e6)
 
     def apply_limits(self, config: RouterConfig) -> None:
         """Applies the limits on sockets, memory and CPU."""
         # Clients get half of the sockets, and upstream connections a third; the rest is a reserve.
         self._acceptor.max_clients = max(MIN_CLIENTS, config.max_sockets // 2)
-        self._budget.limit = config.memory_mb * BUFFER_MEMORY_SHARE * 1e6
+        self._budget.limit = self.buffer_limit(config.memory_mb)
         self._router.dispatcher.pool.max_connections = connection_limit(config.max_sockets)
         self._router.admission.cpu_credit.set_share(config.cpu_cores)
 
--- a/edge_router/server/memory_gauge.py
+++ b/edge_router/server/memory_gauge.py
@@ -24,6 +24,12 @@
         with contextlib.suppress(OSError):
             self._descriptor = os.open(STATM_PATH, os.O_RDONLY)
 
+    def close(self) -> None:
+        """Closes the descriptor."""
+        if self._descriptor != NO_DESCRIPTOR:
+            os.close(self._descriptor)
+            self._descriptor = NO_DESCRIPTOR
+
     def resident_mb(self) -> float:
         """Returns the resident memory in megabytes (10**6 bytes), NaN if the system does not provide it."""
         if self._descriptor == NO_DESCRIPTOR:
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -29,8 +29,9 @@
 from edge_router.transport.close_reason import CloseReason
 from edge_router.transport.upstream_channel import Socket
 
-MAX_BUFFERED_BYTES = 2 * (65_536 + 256 + 8)  # two FastCGI records of the largest size
-MAX_CONTROL_RECORDS = 1000  # management and end records that wait to be written
+# Input that waits to be decoded; the content of a record is taken out as it arrives.
+MAX_BUFFERED_BYTES = 16_384
+MAX_CONTROL_RECORDS = 256  # management and end records that wait to be written
 MAX_CONSECUTIVE_REJECTIONS = 20  # rejected requests in a row; one more closes the connection
 # Records of no use since the last accepted request, and their bytes; more close the connection.
 MAX_STRAY_RECORDS = 1000
@@ -123,27 +124,27 @@
         now = self.last_used = self._clock()
         if not self._records_left:
             self._received_at = now
-        buffered_before = len(self._buffer)
+        completed_before = self._decoder.completed_records
         self._processing_input = True
         try:
-            self._process_records()
+            self._records_left = self._process_records()
         finally:
             self._processing_input = False
             self._flush()
-        if not len(self._buffer):
+        self._buffer.shrink()
+        if not len(self._buffer) and not self._decoder.in_record():
             self._partial_since = None
-        elif len(self._buffer) < buffered_before or self._partial_since is None:
+        elif self._decoder.completed_records != completed_before or self._partial_since is None:
             self._partial_since = now
         if self._decoder.consecutive_rejections > MAX_CONSECUTIVE_REJECTIONS:
             self._start_closing(CloseReason.TOO_MANY_REJECTED)
         elif self._decoder.stray_records > MAX_STRAY_RECORDS or self._decoder.stray_bytes > MAX_STRAY_BYTES:
             self._start_closing(CloseReason.TOO_MANY_STRAY)
-        self._records_left = self._decoder.has_complete_record(self._buffer)
         return self._records_left
 
-    def _process_records(self) -> None:
-        """Processes records in the buffer up to the limits of one turn."""
-        requests = 0
+    def _process_records(self) -> bool:
+        """Processes records in the buffer up to the limits of one turn; returns whether any may be left."""
+        requests, end = 0, self._decoder.completed_records + MAX_RECORDS_PER_TURN
         for event in self._decoder.decode_events(self._buffer, MAX_RECORDS_PER_TURN):
             if isinstance(event, RequestComplete):
                 requests += 1
@@ -152,11 +153,12 @@
                 else:
                     self._dispatch_request(event)
                 if requests >= MAX_REQUESTS_PER_TURN:
-                    return
+                    return len(self._buffer) > 0
             elif isinstance(event, RequestAborted):
                 self._handler.on_aborted(self, event.request_id)
             else:
                 self._send_control_record(event.data)
+        return self._decoder.completed_records >= end and len(self._buffer) > 0
 
     def on_writable(self) -> None:
         """Continues writing after the socket buffer was full."""
--- a/edge_router/transport/upstream_channel.py
+++ b/edge_router/transport/upstream_channel.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from edge_router.protocol.buffer import ReceiveBuffer
-from edge_router.protocol.resp import MAX_BULK_SIZE, RespDecoder
+from edge_router.protocol.resp import MAX_READ_SIZE, RespDecoder
 from edge_router.runtime.system_errors import is_local_failure
 from edge_router.transport.close_reason import CloseReason
 
@@ -79,7 +79,7 @@
         self._flushing = False
         self._write_blocked = False  # until `on_writable`
         self._close_reason: CloseReason | str = CloseReason.CLOSED_LOCALLY
-        self.buffer = ReceiveBuffer(MAX_BULK_SIZE + 4096)
+        self.buffer = ReceiveBuffer(MAX_READ_SIZE)
         self.decoder = RespDecoder()
         self.local_failure = False  # this host lacked a descriptor, memory, a port or a route for it
         self.connected = False  # it was established, or reset by the peer while connecting
@@ -127,6 +127,7 @@
             if count >= MAX_ARRAYS_PER_TURN:
                 self.arrays_left = True
                 break
+        self.buffer.shrink()
         self.partial_received_at = self._clock() if self.decoder.is_partial() or len(self.buffer) else None
 
     def on_writable(self) -> None:
--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,151 @@
+"""The memory that clients and caches can make the router use is bounded by its limit."""
+
+from __future__ import annotations
+
+import re
+import socket
+import struct
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from fake_cache import resp_array
+from fastcgi_client import BEGIN_REQUEST, PARAMS, STDIN, fastcgi_record
+from request_router_harness import Client, RequestRouterHarness
+from router_harness import RouterHarness
+from test_client_floods import MessageCounter
+from test_race_conditions import AcceptingHandler
+
+from edge_router.protocol.buffer import INITIAL_SIZE, ReceiveBuffer
+from edge_router.protocol.resp import MAX_BULK_SIZE, MAX_READ_SIZE, RespDecoder, RespError
+from edge_router.proxy.messages import MAX_OBJECT_BYTES, ResponseStatus
+from edge_router.runtime.clock import Clock
+from edge_router.runtime.memory_budget import MemoryBudget
+from edge_router.runtime.timers import MIN_COMPACTED_TIMERS, Timers
+from edge_router.server.config_applier import MIN_BUFFER_BYTES, ConfigApplier
+from edge_router.transport.client_session import MAX_BUFFERED_BYTES, ClientSession
+from edge_router.transport.upstream_channel import UpstreamChannel
+
+MEMORY_MB = 64
+SOCKETS = 256
+LARGE_REQUESTS = 56
+BAD_CLIENTS = 77  # with the usual ones, a third of the sockets
+HALF_BODY = 60_000  # bytes
+READING_TIME = 1.0  # seconds, in which the router reads all that the bad clients have sent
+BEGIN = struct.pack(">HB5x", 1, 1)
+
+
+def half_request(request_id: int) -> bytes:
+    """Encodes a request whose body stops short."""
+    return (
+        fastcgi_record(BEGIN_REQUEST, request_id, BEGIN)
+        + fastcgi_record(PARAMS, request_id)
+        + fastcgi_record(STDIN, request_id, b"x" * HALF_BODY)
+    )
+
+
+# Guards against a router that is killed because half requests come on top of buffers of earlier answers.
+def test_half_requests_after_large_answers_do_not_exceed_the_memory_limit(
+    start_router: Callable[..., RouterHarness],
+) -> None:
+    router = start_router(memory_mb=MEMORY_MB, sockets=SOCKETS)
+    usual = [router.connect() for _ in range(8)]
+    for number in range(LARGE_REQUESTS):
+        usual[number % 8].send_request(number // 8 + 1, X_ROW=f"{number:016x}", X_WORKING_SET_KB="240")
+    fetches = [router.next_command() for _ in range(LARGE_REQUESTS)]
+    for fetch in fetches:
+        fetch.reply(body=b"x" * MAX_OBJECT_BYTES)
+    for number in range(LARGE_REQUESTS):
+        assert usual[number % 8].read_response().status == 200
+    wrong_length = struct.pack(">BBHHBB", 1, STDIN, 1, 65_535, 0, 0) + b"x" * 65_400
+    message = b"".join(half_request(number) for number in range(1, 5)) + wrong_length
+    bad = [router.connect() for _ in range(BAD_CLIENTS)]
+    for client in bad:
+        client.sock.settimeout(5.0)
+        client.sock.sendall(message)
+    end = time.monotonic() + READING_TIME
+    while time.monotonic() < end:
+        usual[0].send_request()
+        router.next_command().reply()
+        assert usual[0].read_response().status == 200
+    status = Path(f"/proc/{router.process.pid}/status").read_text()
+    peak = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert peak is not None
+    assert int(peak[1]) * 1024 < MEMORY_MB * 1e6
+
+
+# Guards against idle connections that keep the buffer of their last large answer.
+def test_buffer_of_a_large_answer_is_given_back_at_once() -> None:
+    channel = UpstreamChannel(MessageCounter(), Clock().now)
+    answer = resp_array(b"id", b"200", b"-", b"x" * MAX_OBJECT_BYTES)
+    for start in range(0, len(answer), MAX_READ_SIZE // 2):
+        channel.buffer.append(answer[start : start + MAX_READ_SIZE // 2])
+        assert len(channel.buffer._data) <= MAX_READ_SIZE
+        channel.on_received()
+    assert len(channel.buffer._data) == INITIAL_SIZE
+
+
+# Guards against an answer whose items together are far longer than any object.
+def test_array_of_many_long_items_is_invalid() -> None:
+    buffer, decoder = ReceiveBuffer(1 << 20), RespDecoder()
+    buffer.append(b"*16\r\n" + b"$%d\r\n%b\r\n" % (MAX_BULK_SIZE, b"x" * MAX_BULK_SIZE) + b"$1\r\nx\r\n")
+    with pytest.raises(RespError, match="too long"):
+        list(decoder.decode_arrays(buffer))
+
+
+# Guards against receive buffers of clients that no budget counts.
+def test_content_of_an_incomplete_record_is_reserved_and_not_buffered() -> None:
+    ours, theirs = socket.socketpair()
+    budget = MemoryBudget()
+    budget.limit = 1e6
+    with ours, theirs:
+        session = ClientSession(ours, AcceptingHandler(), Clock().now, budget)
+        message = half_request(1)[:-100]
+        for start in range(0, len(message), 1000):
+            session._buffer.append(message[start : start + 1000])
+            session.on_received()
+            assert len(session._buffer._data) <= MAX_BUFFERED_BYTES
+        assert budget.used == HALF_BODY - 100
+        session.on_closed()
+    assert budget.used == 0
+
+
+# Guards against incomplete requests that use up the memory of those that can be answered.
+def test_incomplete_requests_leave_memory_for_complete_ones() -> None:
+    harness, client = RequestRouterHarness(), Client()
+    harness.budget.limit = 4.0 * HALF_BODY
+    session = ClientSession(socket.socketpair()[0], AcceptingHandler(), harness.clock.now, harness.budget)
+    for request_id in range(1, 10):
+        for part in (half_request(request_id)[:12_000], half_request(request_id)[12_000:]):
+            for start in range(0, len(part), MAX_BUFFERED_BYTES // 2):
+                session._buffer.append(part[start : start + MAX_BUFFERED_BYTES // 2])
+                session.on_received()
+    assert harness.budget.used <= 2.0 * HALF_BODY
+    harness.request(client)
+    assert len(harness.channels) == 1
+    assert ResponseStatus.REJECTED not in [response.status for response in client.responses]
+
+
+# Guards against memory that grows with each request that ends long before its time is over.
+def test_cancelled_timers_are_dropped() -> None:
+    clock = Clock(lambda: 0.0, lambda: 0.0)
+    timers, fired = Timers(clock, lambda: 0.0), []
+    kept = [timers.call_at(60_000.0, lambda: fired.append(1)) for _ in range(3)]
+    for _ in range(5 * MIN_COMPACTED_TIMERS):
+        timers.call_at(60_000.0, lambda: None).cancel()
+    assert len(timers._heap) <= MIN_COMPACTED_TIMERS
+    assert all(any(entry[2] is handle for entry in timers._heap) for handle in kept)
+
+
+# Guards against buffers that may use memory which the program itself needs.
+@pytest.mark.parametrize(
+    ("memory_mb", "program_mb", "expected"),
+    [(192.0, 30.0, 48e6), (64.0, 30.0, 16e6), (40.0, 30.0, 5e6), (32.0, 31.0, MIN_BUFFER_BYTES)],
+)
+def test_buffers_use_a_part_of_the_memory_that_the_program_leaves(
+    memory_mb: float, program_mb: float, expected: float
+) -> None:
+    applier = ConfigApplier.__new__(ConfigApplier)
+    applier._program_mb = program_mb
+    assert applier.buffer_limit(memory_mb) == expected
