Answer a record of no request once, and keep the budget within a quarter of the limit

Seen: on the exploration of the codecs reports four violations of same-split (a record of request 0 is answered once for each part in which it arrives), and test_request_above_the_memory_budget_is_rejected_and_memory_is_released gets 503 in place of OVERLOADED under a limit of 0.1 MB.

Records of request 0 were consumed in parts like those of a stream, and the smallest budget of 1 MB was not limited by the quarter of the limit.

Change: only records of a request are consumed in parts; the budget is never over a quarter of the limit.

--- a/edge_router/protocol/fastcgi.py
+++ b/edge_router/protocol/fastcgi.py
@@ -60,7 +60,7 @@
 MAX_CONTROL_CONTENT = 1024  # bytes of a record that is not part of a stream
 MAX_RECORD_CONTENT = 16_384  # bytes of a response in one record; small, so that responses interleave
 
-# The content of these is consumed in parts; the others are needed whole, and are short.
+# Those of a request may be long, and their content is consumed in parts.
 _STREAM_TYPES = frozenset((RecordType.PARAMS, RecordType.STDIN, RecordType.DATA))
 _HEADER = struct.Struct(">BBHHBB")
 _BEGIN = struct.Struct(">HB5x")
@@ -121,6 +121,7 @@
     request_id: int
     missing: int  # bytes of the content that were not consumed yet
     padding: int
+    is_stream: bool  # its content is consumed in parts; that of other records is needed whole
     is_empty: bool  # it has no content
 
 
@@ -272,16 +273,17 @@
         version, record_type, request_id, length, padding, _ = buffer.peek_struct(_HEADER)
         if version != PROTOCOL_VERSION:
             raise FastCgiError(f"unsupported protocol version {version}")
-        if record_type not in _STREAM_TYPES and length > MAX_CONTROL_CONTENT:
+        is_stream = bool(request_id) and record_type in _STREAM_TYPES
+        if not is_stream and length > MAX_CONTROL_CONTENT:
             raise FastCgiError(f"content of {length} bytes in a record of type {record_type}")
         buffer.skip(_HEADER.size)
-        self._record = _PartialRecord(record_type, request_id, length, padding, not length)
+        self._record = _PartialRecord(record_type, request_id, length, padding, is_stream, not length)
         return self._record
 
     @staticmethod
     def _read_content(record_begun: _PartialRecord, buffer: ReceiveBuffer) -> bytes:
         """Consumes the content that has arrived; nothing of one that is needed whole before all of it has."""
-        if record_begun.record_type not in _STREAM_TYPES and len(buffer) < record_begun.missing:
+        if not record_begun.is_stream and len(buffer) < record_begun.missing:
             return b""
         content = buffer.read(record_begun.missing)
         record_begun.missing -= len(content)
--- a/edge_router/server/config_applier.py
+++ b/edge_router/server/config_applier.py
@@ -45,10 +45,11 @@
 
     def buffer_limit(self, memory_mb: float) -> float:
         """Returns how many bytes requests and responses may use under a memory limit in MB (10**6 bytes)."""
-        limit = memory_mb * BUFFER_MEMORY_SHARE
-        if not math.isnan(self._program_mb):
-            limit = min(limit, (memory_mb - self._program_mb) * BUFFER_HEADROOM_SHARE)
-        return max(MIN_BUFFER_BYTES, limit * 1e6)
+        share = memory_mb * BUFFER_MEMORY_SHARE * 1e6
+        if math.isnan(self._program_mb):
+            return share
+        headroom = (memory_mb - self._program_mb) * BUFFER_HEADROOM_SHARE * 1e6
+        return min(share, max(MIN_BUFFER_BYTES, headroom))
 
     def apply_limits(self, config: RouterConfig) -> None:
         """Applies the limits on sockets, memory and CPU."""
