Count blocked writes in the memory budget, and drop bodies that nobody waits for

A client that reads slowly keeps a write of up to 80 KB, which was released from the budget when it was put together, not when it was sent; with 341 clients (a third of 1,024 descriptors) that is 27 MB. Answers to attempts that were given up were kept until complete, up to 256 KB for each connection, after the memory reserved for their request was released.

Change: ClientSession reserves a write that is blocked until its last byte is sent. RespDecoder asks the connection whether an array's id is that of an open attempt, and does not keep the body if not.

--- a/edge_router/model_checker/channels.py
+++ b/edge_router/model_checker/channels.py
@@ -101,6 +101,10 @@
         """The channel has decoded an array."""
         self.received_answers += 1
 
+    def wants_message(self, first_item: bytes) -> bool:
+        """Whether the rest of an array is needed: always."""
+        return True
+
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """The channel reports its end."""
         self.ends.append(reason)
--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -41,10 +41,13 @@
             "_close_reason": REPORTED,
         },
     ),
-    RespDecoder: Fields("_items _missing_items _bulk_size _bulk", {"_array_size": "follows from the items"}),
+    RespDecoder: Fields(
+        "_bulk_received _items _missing_items _bulk_size _bulk",
+        {"_array_size": "follows from the items", "wanted": REFERENCE},
+    ),
     ClientSession: Fields(
         "_decoder _buffer _close_reason _partial_since silent _control_records _responses _unsent_bytes "
-        "_partial_write _write_blocked _client_stalled closing finished",
+        "_partial_write _blocked_write_bytes _write_blocked _client_stalled closing finished",
         {
             "_sock": REFERENCE,
             "sock": "encoded by its fields, with the environment",
@@ -86,6 +89,7 @@
         decoder._missing_items,
         decoder._bulk_size,
         bytes(decoder._bulk),
+        decoder._bulk_received,
         channel.local_failure,
         channel.connected,
         channel.closed,
@@ -110,6 +114,7 @@
         tuple((request_id, tuple(records)) for request_id, records in session._responses),
         session._unsent_bytes,
         bytes(session._partial_write),
+        session._blocked_write_bytes,
         session._write_blocked,
         session._client_stalled,
     )
--- a/edge_router/protocol/resp.py
+++ b/edge_router/protocol/resp.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from edge_router.protocol.buffer import ReceiveBuffer
 
@@ -15,6 +15,8 @@
 MAX_READ_SIZE = 65_536  # bytes that are buffered before they are moved to the bulk string that they belong to
 MAX_LINE_SIZE = 32  # bytes of a length line such as `*4` or `$16`, with its line end
 
+HEAD_ITEMS = 3  # first items of an array, which are always kept
+
 _LINE_END = b"\r\n"
 _FIELD_PATTERN = rb"[a-z0-9_]+=[!-+\--~]*"  # values: printable ASCII without spaces and commas
 _FIELD_LIST = re.compile(_FIELD_PATTERN + b"(," + _FIELD_PATTERN + b")*")
@@ -29,14 +31,22 @@
     return b"*%d\r\n" % len(items) + b"".join([b"$%d\r\n%b\r\n" % (len(item), item) for item in items])
 
 
+def every_array(_first_item: bytes) -> bool:
+    """Returns True: the default of `RespDecoder.wanted`."""
+    return True
+
+
 class RespDecoder:
     """Decodes the arrays of one connection, regardless of how their bytes are split into reads."""
 
     def __init__(self) -> None:
+        # Whether the items after the head of an array with this first item are needed.
+        self.wanted: Callable[[bytes], bool] = every_array
         self._items: list[bytes] = []
         self._missing_items = 0
         self._bulk_size: int | None = None  # size of the item that comes next, once its length line was read
         self._bulk = bytearray()  # the bytes of that item received so far
+        self._bulk_received = 0  # how many these are, also those that are not wanted
         self._array_size = 0  # announced sizes of the items of this array so far
 
     def missing_bytes(self, unread: int) -> int:
@@ -46,7 +56,7 @@
         """
         if self._bulk_size is None:
             return 0
-        missing = self._bulk_size + len(_LINE_END) - len(self._bulk) - unread
+        missing = self._bulk_size + len(_LINE_END) - self._bulk_received - unread
         return min(MAX_READ_SIZE, max(0, missing))
 
     def is_partial(self) -> bool:
@@ -87,17 +97,26 @@
                     raise RespError("array is too long")
                 self._bulk_size = size
             else:
-                self._bulk += buffer.read(self._bulk_size - len(self._bulk))
-                if len(self._bulk) < self._bulk_size or len(buffer) < len(_LINE_END):
+                self._read_bulk(buffer, self._bulk_size - self._bulk_received)
+                if self._bulk_received < self._bulk_size or len(buffer) < len(_LINE_END):
                     return
                 self._items.append(bytes(self._bulk))
-                self._bulk = bytearray()
+                self._bulk, self._bulk_received = bytearray(), 0
                 if buffer.read(len(_LINE_END)) != _LINE_END:
                     raise RespError("bulk string does not end after its announced length")
                 self._missing_items, self._bulk_size = self._missing_items - 1, None
                 if not self._missing_items:
                     yield self._items
 
+    def _read_bulk(self, buffer: ReceiveBuffer, missing: int) -> None:
+        """Consumes up to `missing` bytes of an item, and keeps them if they are needed."""
+        data = buffer.read(missing)
+        self._bulk_received += len(data)
+        if len(self._items) < HEAD_ITEMS or self.wanted(self._items[0]):
+            self._bulk += data
+        else:
+            self._bulk.clear()
+
 
 def encode_fields(fields: Sequence[tuple[str, str]]) -> bytes:
     """Encodes a field list as `name=value,...`; `-` if it is empty."""
--- a/edge_router/proxy/upstream_connections.py
+++ b/edge_router/proxy/upstream_connections.py
@@ -44,6 +44,10 @@
         """Pass a response on to the owner."""
         self._owner.on_response(self, array)
 
+    def wants_message(self, first_item: bytes) -> bool:
+        """Return whether a response with this request id is to an open attempt; its body is needed then."""
+        return first_item.decode("latin-1") in self.attempts
+
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """Notify the owner that the connection has ended."""
         self._owner.on_connection_lost(self, reason)
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -94,6 +94,7 @@
         self._responses: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent_bytes = 0  # bytes of `_responses`, reserved in the memory budget
         self._partial_write = memoryview(b"")  # the unwritten rest of the last write
+        self._blocked_write_bytes = 0  # size of that whole write, reserved in the memory budget
         self._write_blocked = False  # until `on_writable`
         self._client_stalled = False  # the client does not read its responses
         self.last_used = clock()
@@ -169,8 +170,8 @@
         """Releases all memory and reports open requests as disconnected; must be the last call, made once."""
         self._decoder.close()
         self._notify_disconnected()
-        self._budget.release(self._unsent_bytes)
-        self._unsent_bytes = 0
+        self._budget.release(self._unsent_bytes + self._blocked_write_bytes)
+        self._unsent_bytes = self._blocked_write_bytes = 0
 
     def _notify_disconnected(self) -> None:
         """Reports the disconnection to the handler, for each open request."""
@@ -333,7 +334,17 @@
                     return
                 sent = 0
             self.last_used = self._clock()
+            self._account_blocked_write(self._partial_write, sent)
             self._partial_write = self._partial_write[sent:]
             if self._partial_write:
                 self._write_blocked = True
                 self._on_write_blocked()
+
+    def _account_blocked_write(self, data: memoryview, sent: int) -> None:
+        """Reserves a write that is blocked, of which the whole memory is kept until its last byte is sent."""
+        if sent == len(data):
+            self._budget.release(self._blocked_write_bytes)
+            self._blocked_write_bytes = 0
+        elif not self._blocked_write_bytes:
+            self._blocked_write_bytes = len(data)
+            self._budget.reserve(self._blocked_write_bytes)
--- a/edge_router/transport/upstream_channel.py
+++ b/edge_router/transport/upstream_channel.py
@@ -59,6 +59,9 @@
     def on_message(self, connection: UpstreamChannel, array: list[bytes]) -> None:
         """Handles a RESP array; raises RespError if it is malformed, which closes the connection."""
 
+    def wants_message(self, first_item: bytes) -> bool:
+        """Whether the items after the head of an array with this first item are needed."""
+
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """Called once, when the connection has closed or could not be established."""
 
@@ -81,6 +84,7 @@
         self._close_reason: CloseReason | str = CloseReason.CLOSED_LOCALLY
         self.buffer = ReceiveBuffer(MAX_READ_SIZE)
         self.decoder = RespDecoder()
+        self.decoder.wanted = owner.wants_message
         self.local_failure = False  # this host lacked a descriptor, memory, a port or a route for it
         self.connected = False  # it was established, or reset by the peer while connecting
         self.closed = False
@@ -150,7 +154,7 @@
         """
         self.closed = True
         self._owner.on_channel_closed(self, reason or self._close_reason)
-        del self._owner
+        del self._owner, self.decoder.wanted
 
     def _flush(self) -> None:
         """Writes until the socket buffer is full.
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -226,6 +226,10 @@
         """Counts an array."""
         self.count += 1
 
+    def wants_message(self, first_item: bytes) -> bool:
+        """Returns True: every array is needed."""
+        return True
+
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """Does nothing."""
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -12,7 +12,7 @@
 import pytest
 from fake_cache import resp_array
 from fastcgi_client import BEGIN_REQUEST, PARAMS, STDIN, fastcgi_record
-from request_router_harness import Client, RequestRouterHarness
+from request_router_harness import Client, RequestRouterHarness, WritableSocket
 from router_harness import RouterHarness
 from test_client_floods import MessageCounter
 from test_race_conditions import AcceptingHandler
@@ -86,6 +86,34 @@
     assert len(channel.buffer._data) == INITIAL_SIZE
 
 
+# Guards against answers to attempts that were given up, which no budget counts.
+def test_body_of_an_answer_that_nobody_waits_for_is_not_kept() -> None:
+    owner = MessageCounter()
+    owner.wants_message = lambda first_item: first_item == b"open"  # type: ignore[method-assign]
+    channel = UpstreamChannel(owner, Clock().now)
+    for request_id, kept in ((b"gone", 0), (b"open", MAX_READ_SIZE // 2)):
+        answer = resp_array(request_id, b"200", b"-", b"x" * MAX_READ_SIZE)
+        split = answer.index(b"x") + MAX_READ_SIZE // 2
+        channel.buffer.append(answer[:split])
+        channel.on_received()
+        assert len(channel.decoder._bulk) == kept
+        channel.buffer.append(answer[split:])
+        channel.on_received()
+    assert owner.count == 2
+
+
+# Guards against clients that read slowly, each of which keeps a write that no budget counts.
+def test_blocked_write_stays_reserved_until_it_is_sent() -> None:
+    budget, sock = MemoryBudget(), WritableSocket(1000)
+    session = ClientSession(sock, AcceptingHandler(), Clock().now, budget)
+    session.send_response(1, b"Status: 200 OK\r\n\r\n", b"x" * MAX_OBJECT_BYTES)
+    assert budget.used > MAX_OBJECT_BYTES
+    sock.writable_bytes = 1e9
+    session.on_writable()
+    assert budget.used == 0
+    assert len(sock.written) > MAX_OBJECT_BYTES
+
+
 # Guards against an answer whose items together are far longer than any object.
 def test_array_of_many_long_items_is_invalid() -> None:
     buffer, decoder = ReceiveBuffer(1 << 20), RespDecoder()
