Let incomplete requests use at least the memory of one of the largest size

The same test fails alone, so the load was not the cause.

Cause: half of a tiny budget, the share of incomplete requests since, is less than the parameters of one request. Change: the share is at least the largest request; the limit itself binds as before. Budgets of 200 KB and more are not changed by it.

--- a/edge_router/runtime/memory_budget.py
+++ b/edge_router/runtime/memory_budget.py
@@ -4,6 +4,8 @@
 
 # Fraction of the limit for requests that are not complete; the rest is kept for those that can be answered.
 INCOMPLETE_SHARE = 0.5
+# Bytes that incomplete requests may always use within the limit, enough for one of the largest size.
+MIN_INCOMPLETE_BYTES = 98_304
 
 
 class MemoryBudget:
@@ -28,7 +30,8 @@
 
     def can_reserve_incomplete(self, count: int) -> bool:
         """Whether `count` more bytes of an incomplete request fit within the limit and its share of it."""
-        return self.can_reserve(count) and self._incomplete + count <= self.limit * INCOMPLETE_SHARE
+        incomplete_limit = max(MIN_INCOMPLETE_BYTES, self.limit * INCOMPLETE_SHARE)
+        return self.can_reserve(count) and self._incomplete + count <= incomplete_limit
 
     def reserve_incomplete(self, count: int) -> None:
         """Reserves `count` bytes for an incomplete request."""
