--- a/edge_router/model_checker/mutations/decision.py
+++ b/edge_router/model_checker/mutations/decision.py
@@ -68,7 +68,7 @@
         "attempt.may_have_run = event.outcome not in rules.PROVES_NOT_RUN",
         "attempt.may_have_run = event.outcome is Outcome.TIMEOUT",
         ("confirm", "keyed"),
-        "no-repeat",
+        "harmless-refusal",
     ),
     Mutation(
         "refused-though-it-may-have-run",
