--- a/review/stand_ins/caches.py
+++ b/review/stand_ins/caches.py
@@ -50,8 +50,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20, backlog=512)
+        """Starts to listen, at the same address as before if it was stopped."""
+        host, port = self.address
+        self._server = await asyncio.start_server(self._serve, host, port, limit=1 << 20, backlog=512)
         self.address = self._server.sockets[0].getsockname()
 
     def stop(self) -> None:
