--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: bad clients open connections by the hundred and send nothing; usual clients wait behind them."""
+"""Case 8: a few bad clients send some requests and an endless message; usual clients wait past their time."""
 
 from __future__ import annotations
 
@@ -12,15 +12,17 @@
 from stand_ins.change_log import ChangeLog
 from stand_ins.clients import Result, UsualClient, describe, is_lost, object_fields
 
-LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 256}  # TERMS.md: 256 to 1,024 descriptors
-BAD_CLIENTS, EACH_OPENS = 3, 300
-HELD = 10.0  # seconds for which the bad clients hold their connections
-RATE, DURATION, BEFORE = 10.0, 6.0, 1.0  # usual requests a second; seconds, and those before the trouble
-TTL = 1500.0
+LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 512}
+BAD_CLIENTS, REQUESTS_OF_EACH = 8, 31  # one connection each; up to 32 requests may be open on it
+TROUBLE_LASTS = 12.0  # seconds
+RATE, DURATION, BEFORE = 20.0, 13.0, 1.0  # usual requests a second; seconds, and those before the trouble
+CLIENTS, TTL = 60, 1500.0
+CACHE_TAKES = 0.05  # seconds
 
 
 async def answer(_fetch: Fetch) -> Answer:
-    """Answers at once from a copy."""
+    """Answers from a copy."""
+    await asyncio.sleep(CACHE_TAKES)
     return served(b"x" * 1400)
 
 
@@ -39,34 +41,42 @@
     await router.start()
     lag = platform.LoopLag()
     results: list[Result] = []
+    idle = [UsualClient(router.address) for _ in range(CLIENTS)]
 
-    async def new_client() -> None:
-        client = UsualClient(router.address)
+    async def one_request(client: UsualClient) -> None:
         results.append(await client.request("/svc/thumbs", object_fields(20.0), TTL))
         client.close()
+        idle.append(client)
 
     bad: list[asyncio.subprocess.Process] = []
-    start, tasks = time.monotonic(), set()
+    start, tasks, unsent = time.monotonic(), set(), 0
     for count in range(round(RATE * DURATION)):
         if platform.trouble() and not bad and count >= RATE * BEFORE:
-            record.add(f"{BAD_CLIENTS} bad clients open {EACH_OPENS} connections each and send nothing")
+            record.add(f"{BAD_CLIENTS} bad clients send {REQUESTS_OF_EACH} requests and an endless message")
             host, port = router.address
-            arguments = ["-m", "stand_ins.silent_clients", str(EACH_OPENS), host, str(port), str(HELD)]
+            arguments = [str(REQUESTS_OF_EACH), host, str(port), str(TROUBLE_LASTS)]
             for _ in range(BAD_CLIENTS):
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
+                    sys.executable,
+                    "-m",
+                    "stand_ins.endless_client",
+                    *arguments,
+                    stdout=asyncio.subprocess.PIPE,
                 )
                 bad.append(process)
-        tasks.add(asyncio.create_task(new_client()))
+        if idle:
+            tasks.add(asyncio.create_task(one_request(idle.pop(0))))
+        else:
+            unsent += 1
         await asyncio.sleep(max(0.0, start + (count + 1) / RATE - time.monotonic()))
     await asyncio.gather(*tasks)
     lag.stop(record)
     for process in bad:
         printed, _ = await process.communicate()
         record.add(printed.decode().strip())
+    record.add(f"usual requests not sent, as all usual clients were waiting: {unsent}")
     for result in sorted(results, key=lambda each: each.sent):
         record.add(describe(result))
-    record.add(f"fetches that reached caches: {sum(len(cache.fetches) for cache in caches)}")
     lost = [result for result in results if is_lost(result)]
     ended = router.process.returncode is not None
     await router.stop()
--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import atexit
 import contextlib
 import json
 import os
@@ -116,6 +117,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run, cwd=ROOT, env={**env, "TMPDIR": self._folder.name}, stderr=log
             )
+        atexit.register(self._kill)  # also if the case itself fails
         end = time.monotonic() + READY_WITHIN
         while time.monotonic() < end and self.process.returncode is None:
             with contextlib.suppress(OSError):
@@ -143,6 +145,12 @@
                 self.process.send_signal(signal.SIGKILL)
             await asyncio.sleep(0.01)
 
+    def _kill(self) -> None:
+        """Ends the process if it still runs."""
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGKILL)
+
     async def stop(self) -> None:
         """Ends the process and removes its folder."""
         if self._sampler is not None:
