Statistics: longest run of timers, and attempts that wait for their client's input

The log could not tell whether usual requests wait for decisions, for the reading of other clients or for timers: loop_lag_ms is a single sample each 5 s. longest_timer_run_ms shows for how long timers kept all other tasks waiting, client_input_waits how many attempts were queued again behind unread input.

--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -24,6 +24,7 @@
             "_wake": REFERENCE,
             "_compact_at": "no model sets as many timers",
             "_sequence": "timers are encoded in the order in which they fire, also at equal times",
+            "_longest_run": REPORTED,
             "_last_run": "only used for the time that bytes wait unread, which is 0 in the model",
             "_stall_start": "only used for the time that bytes wait unread, which is 0 in the model",
             "_stall_end": "only used for the time that bytes wait unread, which is 0 in the model",
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -137,6 +137,7 @@
         if not self.end_unless_sendable(attempt):
             return None
         if not input_processed:
+            self._accounting.counts["client_input_waits"] += 1
             self._detach(attempt)
             self._timers.call_at(self._clock.now() + CLIENT_INPUT_DELAY, partial(self._enqueue, attempt))
             return None
--- a/edge_router/runtime/timers.py
+++ b/edge_router/runtime/timers.py
@@ -50,6 +50,7 @@
         self._last_run = monotonic()
         self._stall_start = 0.0  # latest time known to precede the last stall
         self._stall_end = -math.inf  # when the last stall was noticed
+        self._longest_run = 0.0  # seconds; since `take_longest_run` was called
 
     def call_at(self, moment: float, callback: Callable[[], None]) -> TimerHandle:
         """Schedules a callback for a moment of `Clock` (ms); it never runs before this call returns."""
@@ -86,6 +87,12 @@
             callback = heapq.heappop(self._heap)[2].callback
             if callback is not None:
                 self._run_callback(callback)
+        self._longest_run = max(self._longest_run, self._monotonic() - now)
+
+    def take_longest_run(self) -> float:
+        """Returns the ms of the longest `run_due` since the last call, during which no other task ran."""
+        longest, self._longest_run = self._longest_run, 0.0
+        return longest * 1000.0
 
     def stall_duration(self) -> float:
         """Returns the ms for which bytes read now may have waited because the process stalled.
--- a/edge_router/server/server.py
+++ b/edge_router/server/server.py
@@ -66,7 +66,7 @@
         self._config_applier = ConfigApplier(config, budget, self._router, self._acceptor, self._change_log)
         self._config_applier.apply_limits(config)
         self._reloader = Reloader(self._config_applier.reload)
-        self._statistics = StatisticsReporter(self._router, self._acceptor, budget)
+        self._statistics = StatisticsReporter(self._router, self._acceptor, budget, self._timers)
         self._shutdown = GracefulShutdown(
             config.settings, self._clock, self._frontend, self._router, self._acceptor
         )
--- a/edge_router/server/statistics_reporter.py
+++ b/edge_router/server/statistics_reporter.py
@@ -9,6 +9,7 @@
 
 from edge_router.proxy.request_router import RequestRouter
 from edge_router.runtime.memory_budget import MemoryBudget
+from edge_router.runtime.timers import Timers
 from edge_router.server.client_acceptor import ClientAcceptor
 from edge_router.server.memory_gauge import MemoryGauge
 
@@ -18,10 +19,13 @@
 class StatisticsReporter:
     """Collects the figures of the process and logs them together with the request statistics."""
 
-    def __init__(self, router: RequestRouter, acceptor: ClientAcceptor, budget: MemoryBudget) -> None:
+    def __init__(
+        self, router: RequestRouter, acceptor: ClientAcceptor, budget: MemoryBudget, timers: Timers
+    ) -> None:
         self._router = router
         self._acceptor = acceptor
         self._budget = budget
+        self._timers = timers
         self._memory = MemoryGauge()
 
     async def run(self) -> None:
@@ -44,6 +48,7 @@
             clients=len(self._acceptor.clients),
             upstream_connections=self._router.dispatcher.pool.connection_count(),
             loop_lag_ms=loop_lag * 1000.0,
+            longest_timer_run_ms=self._timers.take_longest_run(),
             reserved_kb=self._budget.used / 1e3,
             resident_mb=self._memory.resident_mb(),
             gc_collections=gc.get_stats()[2]["collections"],  # of the oldest generation, since startup
