Poll a client's input once for all its waiting attempts, and leave the rest to its reader

Cause: each attempt polls its client's input right before it is sent, up to 16 turns of 128 records, and an attempt whose client had sent more was queued again 1 ms later and polled again. The work for one connection grew with its open requests, and ran in Timers.run_due before any other task.

Change: a poll takes at most 512 records. If it leaves input, the connection is polled no more until its reading task, which takes one turn like every other connection, has processed all that has arrived; it then calls the attempts that wait. Why this works: what one connection costs between two turns of the others is now one poll at most, whatever the number of its attempts.

On the same path: - Records that a poll left in the buffer waited for further input, as the reading task was not woken. - A read that failed for a moment on this host (ENOBUFS) counted as "all input processed" in a poll. - An attempt that waited for its client until its deadline ended as CONNECT_FAILED, which ejects the cache. It ends as NOT_SENT now.

--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -24,8 +24,6 @@
 from edge_router.runtime.event_log import log_rate_limited
 from edge_router.runtime.timers import Timers
 
-# ms until an attempt is queued again whose client has sent more than could be read at once
-CLIENT_INPUT_DELAY = 1.0
 RESPONSE_ITEMS = 4  # of the RESP array: request id, status, fields, body
 
 
@@ -131,15 +129,16 @@
         """Mark an attempt as sent and return its bytes; None if it may not be sent now or any more.
 
         The client's input is read first, as it may withdraw the request. An attempt whose client sends faster
-        than its input is processed is queued again later.
+        than its input is processed leaves the connection, and is queued again once that is done.
         """
-        input_processed = attempt.request.incoming.poll_client()
+        client_input = attempt.request.incoming.client_input
+        input_processed = client_input.poll_input()
         if not self.end_unless_sendable(attempt):
             return None
         if not input_processed:
             self._accounting.counts["client_input_waits"] += 1
             self._detach(attempt)
-            self._timers.call_at(self._clock.now() + CLIENT_INPUT_DELAY, partial(self._enqueue, attempt))
+            client_input.call_when_input_processed(partial(self._enqueue, attempt))
             return None
         now, instruction = self._clock.now(), attempt.instruction
         ready = self._endpoints.is_ready(instruction.endpoint_id) and self._source_ready(instruction)
@@ -172,9 +171,12 @@
     def on_attempt_timeout(self, attempt: Attempt) -> None:
         """End an attempt at its deadline or at shutdown: as TIMEOUT if it was sent, else as CONNECT_FAILED.
 
-        CONNECT_FAILED, which proves that it did not run, is also used if its connection was established.
+        CONNECT_FAILED, which proves that it did not run, is also used if its connection was established. An
+        attempt that has left its connection waits for its client, and ends as NOT_SENT: that is no evidence
+        against the endpoint.
         """
-        if connection := self._connection_of.get(attempt):
+        connection = self._connection_of.get(attempt)
+        if connection is not None:
             now = self._clock.now()
             log_rate_limited(
                 "attempt-timeout",
@@ -187,7 +189,8 @@
                 sent_ago_ms=-1.0 if attempt.sent_at is None else now - attempt.sent_at,
                 open=len(connection.attempts),
             )
-        self.cancel(attempt, Outcome.CONNECT_FAILED if attempt.sent_at is None else Outcome.TIMEOUT)
+        unsent = Outcome.NOT_SENT if connection is None else Outcome.CONNECT_FAILED
+        self.cancel(attempt, unsent if attempt.sent_at is None else Outcome.TIMEOUT)
 
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
         self._detach(attempt)
--- a/edge_router/proxy/fastcgi_frontend.py
+++ b/edge_router/proxy/fastcgi_frontend.py
@@ -110,7 +110,7 @@
             respond = partial(self._respond, connection, request_id)
             incoming = self._parser.parse(path, header_fields(params), body, respond)
             incoming.time_unread = connection.time_unread
-            incoming.poll_client = connection.poll_input
+            incoming.client_input = connection
             if self._router.requests.is_unanswered(incoming.request_id):
                 raise BadRequestError(HTTPStatus.BAD_REQUEST, "X-Txn is the id of another open request")
         except BadRequestError as error:
--- a/edge_router/proxy/messages.py
+++ b/edge_router/proxy/messages.py
@@ -8,9 +8,10 @@
 
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
+from typing import Protocol
 
 MAX_OBJECT_BYTES = 240_000  # length of the longest object
 
@@ -37,9 +38,29 @@
     retry_after: float = 0.0  # ms for which a rejected client should wait
 
 
-def no_client_input() -> bool:
-    """Returns True: the default of `poll_client` for a request without a client connection."""
-    return True
+class ClientInput(Protocol):
+    """What the client of a request has sent, and may withdraw the request with."""
+
+    def poll_input(self) -> bool:
+        """Processes input that has arrived, within a bound; returns whether that was all of it."""
+
+    def call_when_input_processed(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once the input that was left by a poll is processed.
+
+        It is not called if the connection ends before, as its requests end then.
+        """
+
+
+class NoClientInput:
+    """The input of a request without a client connection."""
+
+    def poll_input(self) -> bool:
+        """Returns True: there is nothing to process."""
+        return True
+
+    def call_when_input_processed(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` at once."""
+        callback()
 
 
 @dataclass(slots=True, eq=False)
@@ -60,8 +81,7 @@
     body: bytes
     respond: Callable[[FinalResponse], None]
     time_unread: float = 0.0  # ms for which the request may have waited to be read
-    # Handles what the client has sent meanwhile; returns whether that was all that has arrived.
-    poll_client: Callable[[], bool] = no_client_input
+    client_input: ClientInput = field(default_factory=NoClientInput)
     idempotency_key: str | None = None
 
 
--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -21,8 +21,9 @@
 LINGER_TIMEOUT = 1.0  # seconds for which a closing connection still reads and discards input
 # Bytes of input that a closing connection processes at most, and after that discards at most.
 MAX_LINGER_BYTES = 1 << 20
-# Turns of one poll; enough for `MAX_OPEN_REQUESTS` requests without bodies that arrived in several reads.
+# Turns and records of one poll; enough for `MAX_OPEN_REQUESTS` requests that arrived in several reads.
 MAX_POLL_TURNS = 16
+MAX_POLL_RECORDS = 512
 WRITE_TIMEOUT = 10.0  # seconds for which a client may leave its responses unread
 
 
@@ -35,6 +36,7 @@
     """What came of one turn of reading and processing input."""
 
     NO_INPUT = auto()  # everything that has arrived is processed
+    NOT_READ = auto()  # reading failed for a cause on this host; there may be input
     PROCESSED = auto()  # there may be more
     END_OF_STREAM = auto()
 
@@ -63,6 +65,10 @@
         self._accepted_at = clock()
         # ms; no input that the last read left in the socket arrived before; None if it left none
         self._backlog_since: float | None = None
+        # Set by a poll that left input, until the reading task has processed all of it. Polls do nothing
+        # meanwhile, so that the work for one connection does not grow with the attempts that wait for it.
+        self._input_left = False
+        self._input_wait = trio.CancelScope()  # the reading task's wait for input
         self._closing_bytes = 0  # received since the connection started to close
         self._write_wanted = trio.Event()
         self._scope = trio.CancelScope()
@@ -132,14 +138,15 @@
     async def _read(self) -> CloseReason | str:
         while True:
             try:
-                if self._records_left:
-                    await trio.lowlevel.checkpoint()
-                else:
-                    await trio.lowlevel.wait_readable(self._sock)
+                await self._wait_for_turn()
                 if self._reading.cancel_called:
                     continue  # input after the half-close is not processed
-                if self._take_turn() is _Turn.END_OF_STREAM:
+                turn = self._take_turn()
+                if turn is _Turn.END_OF_STREAM:
                     return CloseReason.CLIENT_CLOSED
+                if turn is _Turn.NO_INPUT:
+                    self._input_left = False
+                    self._on_input_processed()
                 if self._close_reason and self._closing_bytes >= MAX_LINGER_BYTES:
                     return self._close_reason
             except (BufferFullError, FastCgiError) as error:
@@ -148,39 +155,41 @@
             except OSError as error:
                 return str(error) or type(error).__name__
 
+    async def _wait_for_turn(self) -> None:
+        """Waits until there may be input to process and the other connections had their turn."""
+        if self._records_left or self._input_left:
+            await trio.lowlevel.checkpoint()
+            return
+        with trio.CancelScope() as self._input_wait:
+            await trio.lowlevel.wait_readable(self._sock)
+
     def _take_turn(self) -> _Turn:
         """Reads once, unless the last turn left records to process, and processes input for one turn."""
-        if not self._records_left:
-            count = self._receive()
-            if count is None:
-                return _Turn.NO_INPUT
-            if not count:
-                return _Turn.END_OF_STREAM
+        if not self._records_left and (result := self._receive()) is not _Turn.PROCESSED:
+            return result
         self.on_received()
         return _Turn.PROCESSED
 
-    def _receive(self) -> int | None:
-        """Reads once into the buffer.
-
-        Returns the number of bytes read, 0 at the end of the stream, or None if no input is available.
-        """
+    def _receive(self) -> _Turn:
+        """Reads once into the buffer; returns PROCESSED if there is input to process now."""
         with self._buffer.writable_view() as view:
             capacity = len(view)
             try:
                 count = self._sock.recv_into(view)
             except BlockingIOError:
                 self._backlog_since = None
-                return None
+                return _Turn.NO_INPUT
             except OSError as error:
                 if is_local_failure(error):
-                    return None
+                    return _Turn.NOT_READ
                 raise
-        if count:
-            self._buffer.commit(count)
-            self._record_unread_time(count == capacity)
-            if self._close_reason:
-                self._closing_bytes += count
-        return count
+        if not count:
+            return _Turn.END_OF_STREAM
+        self._buffer.commit(count)
+        self._record_unread_time(count == capacity)
+        if self._close_reason:
+            self._closing_bytes += count
+        return _Turn.PROCESSED
 
     def _record_unread_time(self, more: bool) -> None:
         """Records how long the last input may have waited; `more` is set if more may be left to read."""
@@ -196,30 +205,47 @@
         self._final_bytes_unread_time = max_age if more or received_ago is None else received_ago
 
     def poll_input(self) -> bool:
-        """Reads and processes the available input within `MAX_POLL_TURNS`; returns whether that was all.
+        """Reads and processes the input within the limits of one poll; returns whether that was all of it.
 
-        If the stream has ended or failed, reports the open requests as disconnected; the reading task then
-        ends the connection. Starts to close the connection if the input is invalid.
+        What is left is processed by the reading task, one turn after the other. If the stream has ended or
+        failed, reports the open requests as disconnected; the reading task then ends the connection. Starts
+        to close the connection if the input is invalid.
         """
         if self._reading.cancel_called:
             return True
-        if self._processing_input:
+        if self._processing_input or self._input_left:
+            self._leave_input()
             return False
         try:
-            for _ in range(MAX_POLL_TURNS):
-                turn = self._take_turn()
-                if turn is _Turn.END_OF_STREAM:
-                    self._notify_disconnected()
-                if turn is not _Turn.PROCESSED:
-                    return True
+            if self._process_available_input():
+                return True
         except (BufferFullError, FastCgiError) as error:
             self._start_closing(str(error))
             return True
         except OSError:
             self._notify_disconnected()
             return True
+        self._leave_input()
         return False
 
+    def _process_available_input(self) -> bool:
+        """Takes turns within the limits of one poll; returns whether all input is processed."""
+        end = self._decoder.completed_records + MAX_POLL_RECORDS
+        for _ in range(MAX_POLL_TURNS):
+            turn = self._take_turn()
+            if turn is _Turn.END_OF_STREAM:
+                self._notify_disconnected()
+            if turn is not _Turn.PROCESSED:
+                return turn is not _Turn.NOT_READ
+            if self._decoder.completed_records >= end:
+                break
+        return False
+
+    def _leave_input(self) -> None:
+        """Leaves the input to the reading task, and wakes it."""
+        self._input_left = True
+        self._input_wait.cancel()
+
     def _start_writing(self) -> None:
         """Starts the writing task on the first blocked write; most connections never need one."""
         if not self._writer_started:
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -3,8 +3,8 @@
 Decodes requests, and interleaves the records of the responses so that a long one does not delay the others.
 
 A subclass does the I/O: it reports events (`on_received`, `on_writable`, `on_closed`) and implements
-`_on_write_blocked`, `_stop_reading`, `_stop_writing`, `poll_input` and `close`. `ClientConnection` is such a
-subclass.
+`_on_write_blocked`, `_stop_reading`, `_stop_writing`, `poll_input` and `close`, and calls
+`_on_input_processed`. `ClientConnection` is such a subclass.
 """
 
 from __future__ import annotations
@@ -90,6 +90,7 @@
         self._received_at = clock()  # when that read was made
         self._records_left = False  # the buffer holds complete records, which wait for the next turn
         self._processing_input = False  # what is to be written then waits for the end of the turn
+        self._input_waiters: list[Callable[[], None]] = []  # called by `_on_input_processed`
         self._control_records: deque[bytes] = deque()
         self._responses: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent_bytes = 0  # bytes of `_responses`, reserved in the memory budget
@@ -169,6 +170,7 @@
     def on_closed(self) -> None:
         """Releases all memory and reports open requests as disconnected; must be the last call, made once."""
         self._decoder.close()
+        self._input_waiters.clear()
         self._notify_disconnected()
         self._budget.release(self._unsent_bytes + self._blocked_write_bytes)
         self._unsent_bytes = self._blocked_write_bytes = 0
@@ -234,6 +236,19 @@
         """
         return True
 
+    def call_when_input_processed(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once the input that `poll_input` has left is processed.
+
+        It is not called if the connection ends before: its requests are reported as disconnected then.
+        """
+        self._input_waiters.append(callback)
+
+    def _on_input_processed(self) -> None:
+        """Calls those that wait until all input is processed."""
+        waiters, self._input_waiters = self._input_waiters, []
+        for callback in waiters:
+            callback()
+
     def _has_unread_input(self) -> bool:
         """Whether the socket has unread input."""
         try:
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
 import struct
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 import trio
+import trio.testing
 from conftest import make_incoming_request
 from fake_cache import resp_array
 from fastcgi_client import ABORT_REQUEST, BEGIN_REQUEST, PARAMS, STDIN, FastCgiClient, fastcgi_record
@@ -21,13 +23,20 @@
 
 from edge_router.config.settings_reader import settings_from_json
 from edge_router.protocol.buffer import ReceiveBuffer
+from edge_router.protocol.fastcgi import MAX_OPEN_REQUESTS
 from edge_router.proxy.fastcgi_frontend import FastCgiFrontend
 from edge_router.proxy.request_router import DECISION_BATCH
+from edge_router.proxy.request_table import ActiveRequest
 from edge_router.runtime.clock import Clock
 from edge_router.runtime.memory_budget import MemoryBudget
 from edge_router.server.client_acceptor import ClientAcceptor
-from edge_router.transport.client_connection import ClientConnection
-from edge_router.transport.client_session import MAX_REQUESTS_PER_TURN, ClientSession
+from edge_router.transport.client_connection import MAX_POLL_RECORDS, ClientConnection
+from edge_router.transport.client_session import (
+    MAX_RECORDS_PER_TURN,
+    MAX_REQUESTS_PER_TURN,
+    MAX_STRAY_RECORDS,
+    ClientSession,
+)
 from edge_router.transport.upstream_channel import MAX_ARRAYS_PER_TURN, UpstreamChannel
 
 FLOOD_TIME = 2.0  # seconds
@@ -42,6 +51,7 @@
     "empty parameters": (BEGIN, fastcgi_record(PARAMS, 2)),
     "withdrawn while incomplete": (b"", BEGIN + fastcgi_record(ABORT_REQUEST, 2)),
 }
+SMALL_RECORD = fastcgi_record(PARAMS, 2, b"a")
 UNKNOWN_TYPE_RECORD, STRAY_BODY = STRAY_RECORDS["unknown type"][1], STRAY_RECORDS["body of no request"][1]
 
 
@@ -129,8 +139,8 @@
     async def poll() -> None:
         with connection_with_endless_input(STRAY_BODY) as (connection, _):
             assert not connection.poll_input()
-            connection.poll_input()
-            assert connection.is_closing()
+            while not connection.is_closing():  # the reading task's turns, of which the socket allows so many
+                connection._take_turn()
 
     trio.run(poll)
 
@@ -174,33 +184,122 @@
 
 
 class UnreadClient(Client):
-    """A client whose input is processed completely only after some polls."""
+    """A client whose input is processed completely only when the test says so."""
 
-    def __init__(self, incomplete_polls: int) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self.incomplete_polls = incomplete_polls
+        self.input_processed = False
+        self.waiters: list[Callable[[], None]] = []
 
-    def poll(self) -> bool:
+    def poll_input(self) -> bool:
         """Returns whether all input is processed."""
-        self.incomplete_polls -= 1
-        return self.incomplete_polls < 0
+        return self.input_processed
 
+    def call_when_input_processed(self, callback: Callable[[], None]) -> None:
+        """Keeps the callback."""
+        self.waiters.append(callback)
 
-# Guards against an attempt for a request whose abort is behind input that was not processed yet.
-@pytest.mark.parametrize("withdrawn", [False, True])
-def test_attempt_waits_until_the_input_of_its_client_is_processed(withdrawn: bool) -> None:
-    harness, client, sock = RequestRouterHarness(), UnreadClient(1), WritableSocket()
+    def process_input(self) -> None:
+        """Processes all input."""
+        self.input_processed = True
+        for callback in self.waiters:
+            callback()
+
+
+def request_of_unread_client(harness: RequestRouterHarness, client: UnreadClient) -> ActiveRequest:
+    """Passes a request to the router, has it decided, and establishes the connection to its cache."""
     incoming = make_incoming_request(client.receive)
-    incoming.poll_client = client.poll
+    incoming.client_input = client
     request = harness.router.on_request(incoming)
     assert request is not None
     harness.router.run_decisions()
+    return request
+
+
+# Guards against an attempt for a request whose abort is behind input that was not processed yet.
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_attempt_waits_until_the_input_of_its_client_is_processed(withdrawn: bool) -> None:
+    harness, client, sock = RequestRouterHarness(), UnreadClient(), WritableSocket()
+    request = request_of_unread_client(harness, client)
     harness.channels[0].on_connected(sock)
+    harness.advance(10.0)
     assert sock.written == b""
     if withdrawn:
         harness.router.on_client_disconnected(request)
-    harness.advance(10.0)
-    assert (incoming.request_id.encode() in sock.written) is not withdrawn
+    client.process_input()
+    assert (request.incoming.request_id.encode() in sock.written) is not withdrawn
+
+
+# Guards against a healthy cache that is ejected since clients send without end, and their attempts wait.
+def test_attempt_that_waits_for_its_client_at_its_deadline_is_no_failure_of_the_cache() -> None:
+    harness, client, sock = RequestRouterHarness(), UnreadClient(), WritableSocket()
+    request = request_of_unread_client(harness, client)
+    harness.channels[0].on_connected(sock)
+    harness.advance(request.incoming.timeout)
+    counts = harness.router.accounting.counts
+    assert (counts["not_sent"], counts["connect_failed"]) == (1, 0)
+    assert len(client.responses) == 1
+
+
+# Guards against polls whose work grows with the attempts that wait for one client, one poll for each.
+def test_polls_for_many_attempts_of_one_client_process_no_more_than_one_poll() -> None:
+    async def poll() -> None:
+        with connection_with_endless_input(SMALL_RECORD) as (connection, _):
+            connection._buffer.append(BEGIN)
+            for _ in range(MAX_OPEN_REQUESTS):
+                assert not connection.poll_input()
+            processed = connection._decoder.completed_records
+            assert processed <= MAX_POLL_RECORDS + MAX_RECORDS_PER_TURN
+
+    trio.run(poll)
+
+
+# Guards against usual requests that wait behind polls for the open requests of clients that send endlessly.
+def test_requests_are_answered_in_time_beside_endless_messages_behind_open_requests(
+    router: RouterHarness,
+) -> None:
+    answer_all(router)
+    new_ids = map("{:016x}".format, itertools.count(1))
+    with contextlib.ExitStack() as floods:
+        for _ in range(8):
+            bad = router.connect()
+            requests = b"".join(
+                bad.encode_request(number, X_TTL_MS="6000", X_TXN=next(new_ids), X_ROW=next(new_ids))
+                for number in range(1, MAX_OPEN_REQUESTS)
+            )
+            begin = fastcgi_record(BEGIN_REQUEST, MAX_OPEN_REQUESTS, struct.pack(">HB5x", 1, 1))
+            piece = fastcgi_record(PARAMS, MAX_OPEN_REQUESTS, b"a") * 33_000 + begin
+            floods.enter_context(flood(bad, requests + begin, piece))
+        end = time.monotonic() + 2 * FLOOD_TIME
+        while time.monotonic() < end:
+            sent_at = time.monotonic()
+            router.connect().request(X_TTL_MS=str(TIMEOUT_MS))
+            assert time.monotonic() - sent_at < TIMEOUT_MS / 1000.0 + ANSWER_SLACK
+
+
+# Guards against records that a poll has left, and that wait until the client sends something else.
+def test_records_that_a_poll_has_left_are_processed_without_further_input() -> None:
+    processed: list[bool] = []
+
+    async def receive() -> None:
+        handler, budget, (ours, theirs) = AcceptingHandler(), MemoryBudget(), socket.socketpair()
+        budget.limit = 1e6
+        with ours, theirs, trio.move_on_after(TEST_TIMEOUT) as timeout:
+            ours.setblocking(False)
+            connection = ClientConnection(ours, handler, Clock().now, budget)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                await trio.testing.wait_all_tasks_blocked()
+                theirs.sendall(STRAY_BODY * (MAX_STRAY_RECORDS - 100) + encode(1))
+                assert not connection.poll_input()
+                connection.call_when_input_processed(lambda: processed.append(True))
+                while not processed:
+                    await trio.lowlevel.checkpoint()
+                assert handler.request_count == 1
+                nursery.cancel_scope.cancel()
+        assert not timeout.cancelled_caught
+
+    trio.run(receive)
 
 
 # Guards against usual requests that wait behind hundreds of withdrawn ones.
