Budget requests of unknown size by what their transfers take, not as no work

Cause: a size of 0 is "not given" on the wire, but LinkLoads.work_of made it 0 ms of work. The mean work of the class was 0, each attempt was charged 0, and SlowStartBudget.allows never refused. The same for parents, for classes in which only a part of the requests states sizes (they count as 0 in the mean), and for settings without the clients' bandwidth, where every work is 0.

Change: ClassWork keeps the mean of the stated work and the mean duration of transfers of unknown work apart, and mixes them by how many requests state their size. Where all sizes are stated the result is the same number as before. A transfer takes at least as long as at full bandwidth, so the durations don't understate the work. Until some were observed, the class's latency objective is assumed, with the weight of five. Answers that only confirm the client's copy are not counted, as they carry no bytes (AttemptEnded.body_received). Transfers of unknown work no longer make a link look slow, which kept requests of stated size away from it.

The estimate is used for the budgets only. The checks for congestion still know nothing of an unknown size: an estimate above the limit would reject all requests of its class, and then never be corrected.

Tests: 10 of the 11 in tests/test_unknown_sizes.py fail on the code before (500 requests to four caches that bear 124); the other holds the line that warm caches take such requests from the start.

--- a/edge_router/decision/link_loads.py
+++ b/edge_router/decision/link_loads.py
@@ -53,7 +53,7 @@
         self.fill_wait = 0.0  # moving average of the wait for the first byte of a fill, in milliseconds
 
     def work_of(self, size_kb: float) -> float:
-        """The time in milliseconds of sending `size_kb` at full bandwidth."""
+        """The time in milliseconds of sending `size_kb` at full bandwidth; 0 if one of them is unknown."""
         return size_kb / self._client_bandwidth * 1000.0
 
     def transfers_and_share(self, endpoint: Endpoint) -> tuple[float, float]:
@@ -131,19 +131,27 @@
         self.fill_wait += FILL_WAIT_LEARNING_RATE * (pending.latency_objective - self.fill_wait)
 
     def record_hit(self, now: float, attempt: AttemptRecord, work: float, duration: float) -> None:
-        """Records the transfer of a cached copy; without weights, learns the cache's capacity."""
+        """Records the transfer of a cached copy; without weights, learns the cache's capacity.
+
+        A transfer of unknown work shows nothing about the pace.
+        """
+        if work <= 0:
+            return
         attempt.cache_load.record_transfer(now, duration, work)
-        if not self._settings.endpoints_weighted and work > 0:
+        if not self._settings.endpoints_weighted:
             attempt.cache_load.update_capacity(attempt.concurrent_attempts, duration / work)
 
     def record_fill(self, now: float, attempt: AttemptRecord, work: float, event: AttemptEnded) -> None:
         """Records a fill; each link on its path gets the slowdown that the other links don't explain.
 
-        Learns the capacity of the zone link if its bandwidth is unknown.
+        Learns the capacity of the zone link if its bandwidth is unknown. A transfer of unknown work shows
+        nothing about the pace of the links.
         """
         self.fill_wait += FILL_WAIT_LEARNING_RATE * (event.fill_wait - self.fill_wait)
+        if work <= 0:
+            return
         duration = min(max(work, event.duration - event.fill_wait), MAX_FILL_SLOWDOWN * work)
-        if self._zone_link_transfers <= 0 and work > 0:
+        if self._zone_link_transfers <= 0:
             self.zone_link.update_capacity(attempt.concurrent_fills, duration / work)
         links = [attempt.cache_load, self.zone_link, attempt.source_load]
         slowdowns = [load.slowdown(now) for load in links]
--- a/edge_router/decision/messages.py
+++ b/edge_router/decision/messages.py
@@ -103,7 +103,8 @@
     `attempt_index` counts the attempts of the request from 0, in the order in which they were started.
     `fill_result` is a `FillResult`; any other number counts as NONE. `fill_wait` is how long the fill waited
     for its first byte. `load_report` has the values of `Settings.load_report_fields`.
-    `request_closed`: the request has its final answer, or its client has disconnected.
+    `request_closed`: the request has its final answer, or its client has disconnected. `body_received`: if
+    the outcome is OK, the response had the object, and did not only confirm the client's copy.
     """
 
     request_number: int
@@ -115,6 +116,7 @@
     fill_result: int
     fill_wait: float
     load_report: tuple[float, ...]
+    body_received: bool = True
 
 
 class ResponseStarted(NamedTuple):
--- a/edge_router/decision/policy.py
+++ b/edge_router/decision/policy.py
@@ -14,11 +14,11 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from edge_router.decision import rules
 from edge_router.decision.candidate_selector import CandidateSelector
+from edge_router.decision.class_work import ClassWork
 from edge_router.decision.copy_tracker import CopyTracker
 from edge_router.decision.endpoint_directory import EndpointDirectory
 from edge_router.decision.link_loads import LinkLoads
@@ -61,25 +61,11 @@
 # Limit of the fetches sent to the origin for each that it answers; requests above it, chosen at random, avoid
 # the origin.
 MAX_ORIGIN_FETCHES_PER_ANSWER = 1.25
-MEAN_WORK_SAMPLES = 1000.0  # requests
 TIMER_TOLERANCE = 0.001  # milliseconds by which a timer may fire early
 # The attempt was not sent, or arrived after its deadline and was not run, so it added almost no load.
 NO_LOAD_ON_CACHE = frozenset((Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
-@dataclass(slots=True)
-class MeanWork:
-    """The mean work of the requests of one class, in milliseconds of sending at full bandwidth."""
-
-    requests: int = 0
-    mean: float = 0.0
-
-    def record(self, work: float) -> None:
-        """Adds a request to the mean, which covers about the last thousand requests."""
-        self.requests += 1
-        self.mean += (work - self.mean) / min(self.requests, MEAN_WORK_SAMPLES)
-
-
 class RoutingPolicy:
     """Decides for one router: `handle` takes an event and returns the actions that it causes."""
 
@@ -96,7 +82,7 @@
         self.purges = RecentPurges(purge_retention(settings))
         self.copies = CopyTracker(settings.slow_start_duration, self.purges)
         self.retry_budget = RetryBudget()
-        self.mean_work = [MeanWork() for _ in settings.classes]
+        self.class_work = [ClassWork(each.latency_objective) for each in settings.classes]
         self.candidates = CandidateSelector(self.directory, self.loads, self.popularity)
         self.outcomes = OutcomeRecorder(self.directory, self.loads, self.popularity, self.copies, self._emit)
         self._handlers: dict[type, Callable[[float, Any], None]] = {
@@ -143,7 +129,7 @@
             return
         settings = self._settings.classes[event.class_index]
         work = self.loads.work_of(event.size_kb)
-        self.mean_work[event.class_index].record(work)
+        self.class_work[event.class_index].record_request(work)
         self.retry_budget.record_request()
         if not settings.uncacheable:
             self.popularity.record_request(now, event.object_key, event.size_kb, event.segment)
@@ -232,18 +218,19 @@
     ) -> Charge | None:
         """Charges both slow-start budgets; returns the source's charge, None if a budget is used up."""
         # Rule 4: at a cache each attempt counts as its class's mean work; a parent is charged only for the
-        # fills that come to it, each with the work of its request.
+        # fills that come to it, each with the work of its request, as far as that is known.
         directory, loads = self.directory, self.loads
-        mean_work = self.mean_work[pending.request.class_index].mean
+        mean_work = self.class_work[pending.request.class_index].mean()
+        fill_work = pending.work or mean_work
         if not directory.cache_budget.allows(now, cache, mean_work, *loads.transfers_and_share(cache)):
             return None
         parent = directory.parents.endpoints.get(source_id)
         if parent is not None:
             transfers, share = loads.transfers_and_share(parent)
-            if not directory.parent_budget.allows(now, parent, pending.work, transfers, share):
+            if not directory.parent_budget.allows(now, parent, fill_work, transfers, share):
                 return None
         directory.cache_budget.charge(now, cache.endpoint_id, mean_work)
-        return directory.parent_budget.charge(now, source_id, pending.work)
+        return directory.parent_budget.charge(now, source_id, fill_work)
 
     def _new_attempt(
         self, now: float, pending: PendingRequest, cache: Endpoint, source_id: EndpointId, charge: Charge
@@ -306,6 +293,9 @@
             return
         self._end_attempt(pending, attempt)
         self.outcomes.record_end(now, pending, attempt, event)
+        if event.outcome is Outcome.OK and event.body_received and not pending.work:
+            transfer_time = max(0.0, event.duration - event.fill_wait)
+            self.class_work[pending.request.class_index].record_transfer(transfer_time)
         if event.request_closed or event.outcome is Outcome.OK:
             if any(earlier.in_flight for earlier in pending.attempts[: event.attempt_index]):
                 self.retry_budget.refund()
--- a/edge_router/model_checker/fingerprint/decision.py
+++ b/edge_router/model_checker/fingerprint/decision.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from edge_router.decision.candidate_selector import CandidateSelector
+from edge_router.decision.class_work import ClassWork
 from edge_router.decision.copy_tracker import CopyTracker
 from edge_router.decision.endpoint_directory import EndpointDirectory
 from edge_router.decision.link_load import LinkLoad
@@ -31,7 +32,7 @@
 
 DECISION: Ledger = {
     RoutingPolicy: Fields(
-        "directory popularity purges pending loads copies mean_work retry_budget",
+        "directory popularity purges pending loads copies class_work retry_budget",
         {
             "_settings": FIXED,
             "_random": "replaced by a source without state, which always returns the middle of the range",
@@ -139,11 +140,16 @@
         _load(loads.origin, frame),
         _load(loads.zone_link, frame),
         tuple((key, frame.time(at)) for key, at in sorted(policy.copies.last_used.items())),
-        tuple((each.requests, rounded(each.mean)) for each in policy.mean_work),
+        tuple(map(_class_work, policy.class_work)),
         rounded(policy.retry_budget.tokens),
     )
 
 
+def _class_work(work: ClassWork) -> tuple[float, ...]:
+    means = (work.stated_share, work.stated, work.observed)
+    return tuple(rounded(value) for each in means for value in (each.samples, each.mean))
+
+
 def _popularity(popularity: Popularity, frame: ReferenceFrame) -> tuple[Any, ...]:
     counts = tuple(
         (key, rounded(item.size_kb), rounded(item.count), item.segments)
--- a/edge_router/proxy/accounting.py
+++ b/edge_router/proxy/accounting.py
@@ -42,8 +42,9 @@
         fill_result: FillResult = FillResult.NONE,
         fill_wait: float = 0.0,
         load_report: tuple[float, ...] = (),
+        body_received: bool = True,
     ) -> None:
-        """Ends an attempt; does nothing if it has ended already. `fill_wait` is in ms."""
+        """Ends an attempt; does nothing if it has ended. The parameters are those of `AttemptEnded`."""
         if attempt.ended:
             return
         attempt.ended = True
@@ -68,6 +69,7 @@
                 int(fill_result),
                 fill_wait,
                 load_report,
+                body_received,
             )
         )
         self.close_if_finished(request)
--- a/edge_router/proxy/response_handler.py
+++ b/edge_router/proxy/response_handler.py
@@ -76,4 +76,5 @@
             fill_result,
             response.fill_wait(),
             response.load_report(self._load_report_fields),
+            body_received=response.status != NOT_MODIFIED,
         )
