Reserve memory for responses of unknown size, and check it again when they arrive

AdmissionController.admit took a size of 0 for no bytes, so any number of requests was admitted; and nothing compared what was reserved with what then arrived, so a size that was stated too small had the same effect.

Change: a request without a stated size reserves the mean of the responses to such requests of its class, and the largest size until some have arrived. When the length of a body is known, the rest is reserved. If there is no memory for it, the body is dropped as it arrives and the request is rejected, or failed where a repeat may do harm. A body a quarter or 1 KB larger than expected is always kept, as estimates are not exact. The fallback response has moved to ResponseHandler, which gives it too.

Tests: the two new ones fail on the code before (no reservation, and 240,000 bytes kept beside a limit of 50,000). The mutation first-byte-lost follows its line to _final_response.

--- a/edge_router/model_checker/channels.py
+++ b/edge_router/model_checker/channels.py
@@ -101,8 +101,8 @@
         """The channel has decoded an array."""
         self.received_answers += 1
 
-    def wants_message(self, first_item: bytes) -> bool:
-        """Whether the rest of an array is needed: always."""
+    def wants_item(self, first_item: bytes, size: int) -> bool:
+        """Whether an item of an array is kept: always."""
         return True
 
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -62,6 +62,7 @@
             "_budget": REFERENCE,
             "_max_requests": FIXED,
             "_bytes_per_stated_kb": FIXED,
+            "_mean_body_bytes": "only used for requests without a stated size, of which the model has none",
         },
     ),
     RequestAccounting: Fields(
@@ -78,6 +79,8 @@
     response_handler.ResponseHandler: Fields(
         "",
         {
+            "_classes": FIXED,
+            "_admission": REFERENCE,
             "_load_report_fields": FIXED,
             "_accounting": REFERENCE,
             "_clock": REFERENCE,
@@ -116,6 +119,7 @@
             "_endpoints": REFERENCE,
             "_accounting": REFERENCE,
             "_response_handler": REFERENCE,
+            "_admission": REFERENCE,
             "pool": REFERENCE,
         },
     ),
@@ -143,8 +147,8 @@
         {"request_number": "requests are named by their position in the scope"},
     ),
     request_table.Attempt: Fields(
-        "index instruction created_at sent_at purged ended reassigned timeout_timer outcome",
-        {"request": REFERENCE},
+        "index instruction created_at sent_at purged ended reassigned body_dropped timeout_timer outcome",
+        {"request": REFERENCE, "body_bytes": "every body of the model has the same size"},
     ),
     endpoint_table.EndpointTable: Fields(
         "_endpoints", {"_starts": "not needed, as peers and router share one clock in the model"}
@@ -250,6 +254,7 @@
         attempt.purged,
         attempt.ended,
         attempt.reassigned,
+        attempt.body_dropped,
         _timer_state(attempt.timeout_timer),
         -1 if attempt.outcome is None else int(attempt.outcome),
     )
--- a/edge_router/model_checker/mutations/proxy.py
+++ b/edge_router/model_checker/mutations/proxy.py
@@ -206,7 +206,7 @@
     Mutation(
         "first-byte-lost",
         response_handler.ResponseHandler,
-        "on_response",
+        "_final_response",
         "FinalResponse(status, response.body,",
         "FinalResponse(status, response.body[1:],",
         ("answers",),
--- a/edge_router/protocol/resp.py
+++ b/edge_router/protocol/resp.py
@@ -31,7 +31,7 @@
     return b"*%d\r\n" % len(items) + b"".join([b"$%d\r\n%b\r\n" % (len(item), item) for item in items])
 
 
-def every_array(_first_item: bytes) -> bool:
+def every_item(_first_item: bytes, _size: int) -> bool:
     """Returns True: the default of `RespDecoder.wanted`."""
     return True
 
@@ -40,8 +40,9 @@
     """Decodes the arrays of one connection, regardless of how their bytes are split into reads."""
 
     def __init__(self) -> None:
-        # Whether the items after the head of an array with this first item are needed.
-        self.wanted: Callable[[bytes], bool] = every_array
+        # Whether an item after the head of an array is kept: called with the array's first item and the size
+        # of that item, each time some of its bytes arrive.
+        self.wanted: Callable[[bytes, int], bool] = every_item
         self._items: list[bytes] = []
         self._missing_items = 0
         self._bulk_size: int | None = None  # size of the item that comes next, once its length line was read
@@ -97,7 +98,7 @@
                     raise RespError("array is too long")
                 self._bulk_size = size
             else:
-                self._read_bulk(buffer, self._bulk_size - self._bulk_received)
+                self._read_bulk(buffer, self._bulk_size)
                 if self._bulk_received < self._bulk_size or len(buffer) < len(_LINE_END):
                     return
                 self._items.append(bytes(self._bulk))
@@ -108,11 +109,11 @@
                 if not self._missing_items:
                     yield self._items
 
-    def _read_bulk(self, buffer: ReceiveBuffer, missing: int) -> None:
-        """Consumes up to `missing` bytes of an item, and keeps them if they are needed."""
-        data = buffer.read(missing)
+    def _read_bulk(self, buffer: ReceiveBuffer, size: int) -> None:
+        """Consumes what has arrived of an item of `size` bytes, and keeps it if it is needed."""
+        data = buffer.read(size - self._bulk_received)
         self._bulk_received += len(data)
-        if len(self._items) < HEAD_ITEMS or self.wanted(self._items[0]):
+        if len(self._items) < HEAD_ITEMS or self.wanted(self._items[0], size):
             self._bulk += data
         else:
             self._bulk.clear()
--- a/edge_router/proxy/admission.py
+++ b/edge_router/proxy/admission.py
@@ -10,6 +10,7 @@
 import random
 from enum import StrEnum
 
+from edge_router.decision.running_mean import RunningMean
 from edge_router.decision.settings import Settings
 from edge_router.proxy.messages import MAX_OBJECT_BYTES, IncomingRequest
 from edge_router.proxy.request_table import ActiveRequest, RequestTable
@@ -30,6 +31,8 @@
 # Bytes on the socket per KB of the size that a client states, if the ratio of `transfer_rate` to
 # `Settings.client_bandwidth` is not known. By that ratio an object has fewer bytes on the socket than stated.
 DEFAULT_BYTES_PER_STATED_KB = 1000.0
+# Part of the reserved bytes, and bytes, by which a response may exceed its estimate although memory is short.
+BODY_TOLERANCE, MIN_BODY_TOLERANCE = 0.25, 1024
 
 
 class ShedReason(StrEnum):
@@ -71,14 +74,15 @@
             if settings.client_bandwidth > 0 and transfer_rate > 0
             else DEFAULT_BYTES_PER_STATED_KB
         )
+        # By class, of the responses to requests that state no size; the largest until some have arrived.
+        self._mean_body_bytes = [RunningMean(1.0, MAX_OBJECT_BYTES) for _ in settings.classes]
         self.latest_deadline = math.inf  # ms of the router's clock; set at shutdown, limits all deadlines
 
     def admit(self, now: float, incoming: IncomingRequest) -> ActiveRequest | None:
         """Admits a request; None if its timeout has passed or it and its response exceed the capacity."""
         if incoming.time_unread >= incoming.timeout:
             return None
-        response_bytes = min(MAX_OBJECT_BYTES, round(incoming.size_kb * self._bytes_per_stated_kb))
-        reserved_bytes = len(incoming.body) + response_bytes
+        reserved_bytes = len(incoming.body) + self._expected_body_bytes(incoming)
         if len(self._requests) >= self._max_requests or not self._budget.can_reserve(reserved_bytes):
             return None
         self._budget.reserve(reserved_bytes)
@@ -86,6 +90,31 @@
         deadline = min(now + max(MIN_TIME_REMAINING, time_remaining), self.latest_deadline)
         return self._requests.add(incoming, deadline, reserved_bytes)
 
+    def _expected_body_bytes(self, incoming: IncomingRequest) -> int:
+        """Returns how many bytes the response's body will have, by its stated size or others of its class."""
+        if incoming.size_kb > 0:
+            return min(MAX_OBJECT_BYTES, round(incoming.size_kb * self._bytes_per_stated_kb))
+        return round(self._mean_body_bytes[incoming.class_index].mean)
+
+    def reserve_body(self, request: ActiveRequest, size: int) -> bool:
+        """Reserves what a body of `size` bytes needs beyond its estimate; returns whether it may be kept.
+
+        It may if it fits within the limit, or if the estimate was nearly right.
+        """
+        missing = len(request.incoming.body) + size - request.reserved_bytes
+        if missing > 0:
+            tolerance = max(MIN_BODY_TOLERANCE, BODY_TOLERANCE * request.reserved_bytes)
+            if missing > tolerance and not self._budget.can_reserve(missing):
+                return False
+            self._budget.reserve(missing)
+            request.reserved_bytes += missing
+        return True
+
+    def record_body(self, incoming: IncomingRequest, size: int) -> None:
+        """Records the size (bytes) of a response's body, from which those of unknown size are estimated."""
+        if incoming.size_kb <= 0:
+            self._mean_body_bytes[incoming.class_index].record(size)
+
     def shed_reason(self, now: float, received_at: float, class_index: int) -> ShedReason | None:
         """Returns why a request received at `received_at` (ms) must be shed; None if it is to be forwarded.
 
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -14,6 +14,7 @@
 from edge_router.discovery.endpoint_table import EndpointTable
 from edge_router.protocol import resp
 from edge_router.proxy.accounting import RequestAccounting
+from edge_router.proxy.admission import AdmissionController
 from edge_router.proxy.cache_response import CacheResponse
 from edge_router.proxy.connection_pool import ConnectionPool
 from edge_router.proxy.fetch_command import AbortCommand, FetchCommand, encode_fetch
@@ -39,10 +40,12 @@
         pool: ConnectionPool,
         accounting: RequestAccounting,
         response_handler: ResponseHandler,
+        admission: AdmissionController,
     ) -> None:
         self._classes = settings.classes
         self._clock, self._timers, self._endpoints = clock, timers, endpoints
         self._accounting, self._response_handler = accounting, response_handler
+        self._admission = admission
         self.pool = pool
         self._connection_of: dict[Attempt, UpstreamConnection] = {}
 
@@ -201,6 +204,15 @@
         if connection is not None:
             connection.attempts.pop(attempt.request.incoming.request_id, None)
 
+    def accept_body(self, attempt: Attempt, size: int) -> bool:
+        """Return whether to keep the body of a response, for which memory is reserved.
+
+        Once there was none, the body stays dropped, as its first bytes are gone.
+        """
+        attempt.body_bytes = size
+        attempt.body_dropped = attempt.body_dropped or not self._admission.reserve_body(attempt.request, size)
+        return not attempt.body_dropped
+
     def on_response(self, connection: UpstreamConnection, array: list[bytes]) -> None:
         """Handle a response on a connection; drop it if its request id has no open attempt there.
 
@@ -219,6 +231,8 @@
         connection.last_response_at = connection.last_used_at = self._clock.now()
         connection.answered_ids.append(request_id)
         self._detach(attempt)
+        if attempt.body_bytes:
+            self._admission.record_body(attempt.request.incoming, attempt.body_bytes)
         self._response_handler.on_response(attempt, response)
 
     def on_connection_lost(self, connection: UpstreamConnection, reason: str) -> None:
--- a/edge_router/proxy/fastcgi_frontend.py
+++ b/edge_router/proxy/fastcgi_frontend.py
@@ -138,6 +138,6 @@
         """Handles that the client closed its side: no further attempt is sent, but it may read a response."""
         request = self._open_requests.pop((connection, request_id), None)
         if request is not None:
-            response = self._router.fallback_response(request)
+            response = self._router.response_handler.fallback_response(request)
             self._router.on_client_disconnected(request)
             connection.send_response(request_id, encode_response_head(response), response.body)
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -8,7 +8,6 @@
 from functools import partial
 from typing import Any
 
-from edge_router.decision import rules
 from edge_router.decision.messages import (
     CancelAttempt,
     ClientDisconnected,
@@ -81,11 +80,18 @@
         self.peer_clock = PeerClock(clock)
         self.purges = PurgeHistory(purge_retention(settings))
         self.response_handler = ResponseHandler(
-            settings, self.accounting, clock, self.peer_clock, self.purges
+            settings, self.accounting, self.admission, clock, self.peer_clock, self.purges
         )
         pool = ConnectionPool(clock, timers, self.endpoints, settings, self.accounting.counts, connect)
         self.dispatcher = AttemptDispatcher(
-            settings, clock, timers, self.endpoints, pool, self.accounting, self.response_handler
+            settings,
+            clock,
+            timers,
+            self.endpoints,
+            pool,
+            self.accounting,
+            self.response_handler,
+            self.admission,
         )
         self._discovery_updates = DiscoveryUpdates(
             clock, self.peer_clock, self.endpoints, self.purges, self.requests, self.dispatcher, self.post
@@ -168,13 +174,6 @@
                 if attempt.sent_at is None:
                     self.dispatcher.end_unless_sendable(attempt)
 
-    def fallback_response(self, request: ActiveRequest) -> FinalResponse:
-        """Return a response without asking the routing policy: rejected if a retry is safe, else failed."""
-        may_have_run = any(attempt.may_have_run() for attempt in request.attempts)
-        if rules.may_reject(self._settings.classes[request.incoming.class_index], may_have_run):
-            return FinalResponse(ResponseStatus.REJECTED, retry_after=self.admission.retry_after())
-        return FinalResponse(ResponseStatus.FAILED)
-
     def on_discovery_event(self, event: DiscoveryEvent) -> None:
         """Handle a change of the endpoints or a purge."""
         self._discovery_updates.apply(event)
@@ -279,7 +278,7 @@
                     request=request.incoming.request_id,
                     reason="its deadline passed before it was routed",
                 )
-            self.response_handler.respond(request, self.fallback_response(request))
+            self.response_handler.respond(request, self.response_handler.fallback_response(request))
             # Makes the policy drop the request; the client has not in fact disconnected.
             self.post(ClientDisconnected(request.request_number))
         for attempt in request.attempts:
--- a/edge_router/proxy/request_table.py
+++ b/edge_router/proxy/request_table.py
@@ -25,6 +25,8 @@
     purged: bool = False  # a purge of its object arrived after the instruction
     ended: bool = False
     reassigned: bool = False  # it has been moved to another connection once
+    body_bytes: int = 0  # announced size of the response's body; 0 until it begins to arrive
+    body_dropped: bool = False  # there was no memory for it
     timeout_timer: TimerHandle | None = None
     outcome: Outcome | None = None  # once it has ended
 
@@ -48,7 +50,8 @@
     request_number: int
     incoming: IncomingRequest
     deadline: float
-    reserved_bytes: int = 0  # reserved in the memory budget for the request and its response
+    # Reserved in the memory budget for the request and its response; an estimate until the response arrives.
+    reserved_bytes: int = 0
     answered: bool = False
     backstop_timer: TimerHandle | None = None
     ended_by_shutdown: bool = False  # no further attempt is sent
--- a/edge_router/proxy/response_handler.py
+++ b/edge_router/proxy/response_handler.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from edge_router.decision import rules
 from edge_router.decision.messages import FillResult, Outcome
 from edge_router.decision.settings import Settings
 from edge_router.discovery.purge_history import PurgeHistory
 from edge_router.proxy.accounting import RequestAccounting
+from edge_router.proxy.admission import AdmissionController
 from edge_router.proxy.cache_response import NOT_MODIFIED, OUTCOME_BY_STATUS, CacheResponse
 from edge_router.proxy.messages import FinalResponse, ResponseStatus
 from edge_router.proxy.request_table import ActiveRequest, Attempt
@@ -22,12 +24,15 @@
         self,
         settings: Settings,
         accounting: RequestAccounting,
+        admission: AdmissionController,
         clock: Clock,
         peer_clock: PeerClock,
         purges: PurgeHistory,
     ) -> None:
+        self._classes = settings.classes
         self._load_report_fields = settings.load_report_fields
         self._accounting = accounting
+        self._admission = admission
         self._clock = clock
         self._peer_clock = peer_clock
         self.validator = ResponseValidator(settings, peer_clock, purges)
@@ -42,6 +47,13 @@
         request.incoming.respond(response)
         self._accounting.close_if_finished(request)
 
+    def fallback_response(self, request: ActiveRequest) -> FinalResponse:
+        """Returns a response without asking the routing policy: rejected if a retry is safe, else failed."""
+        may_have_run = any(attempt.may_have_run() for attempt in request.attempts)
+        if rules.may_reject(self._classes[request.incoming.class_index], may_have_run):
+            return FinalResponse(ResponseStatus.REJECTED, retry_after=self._admission.retry_after())
+        return FinalResponse(ResponseStatus.FAILED)
+
     def client_disconnected(self, request: ActiveRequest) -> None:
         """Marks a request as answered because its client has disconnected; sends nothing.
 
@@ -67,9 +79,7 @@
                 )
                 outcome = Outcome.ERROR
         if outcome is Outcome.OK:
-            not_modified = response.status == NOT_MODIFIED
-            status = ResponseStatus.NOT_MODIFIED if not_modified else ResponseStatus.SERVED
-            self.respond(attempt.request, FinalResponse(status, response.body, response.etag()))
+            self.respond(attempt.request, self._final_response(attempt, response))
         self._accounting.attempt_ended(
             attempt,
             outcome,
@@ -78,3 +88,12 @@
             response.load_report(self._load_report_fields),
             body_received=response.status != NOT_MODIFIED,
         )
+
+    def _final_response(self, attempt: Attempt, response: CacheResponse) -> FinalResponse:
+        """Returns the final response for a valid one of a cache, of which the body may have been dropped."""
+        if attempt.body_dropped:
+            self._accounting.counts["bodies_dropped"] += 1
+            return self.fallback_response(attempt.request)
+        not_modified = response.status == NOT_MODIFIED
+        status = ResponseStatus.NOT_MODIFIED if not_modified else ResponseStatus.SERVED
+        return FinalResponse(status, response.body, response.etag())
--- a/edge_router/proxy/upstream_connections.py
+++ b/edge_router/proxy/upstream_connections.py
@@ -18,6 +18,9 @@
     def on_response(self, connection: UpstreamConnection, array: list[bytes]) -> None:
         """Handle a response; raises RespError if it is malformed, which ends the connection."""
 
+    def accept_body(self, attempt: Attempt, size: int) -> bool:
+        """Return whether there is memory for a response of `size` bytes to an open attempt."""
+
     def on_connection_lost(self, connection: UpstreamConnection, reason: str) -> None:
         """Handle the end of a connection, or that it could not be established. Called once."""
 
@@ -44,9 +47,10 @@
         """Pass a response on to the owner."""
         self._owner.on_response(self, array)
 
-    def wants_message(self, first_item: bytes) -> bool:
-        """Return whether a response with this request id is to an open attempt; its body is needed then."""
-        return first_item.decode("latin-1") in self.attempts
+    def wants_item(self, first_item: bytes, size: int) -> bool:
+        """Return whether to keep a body of `size` bytes in a response with this request id."""
+        attempt = self.attempts.get(first_item.decode("latin-1"))
+        return attempt is not None and self._owner.accept_body(attempt, size)
 
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """Notify the owner that the connection has ended."""
--- a/edge_router/transport/upstream_channel.py
+++ b/edge_router/transport/upstream_channel.py
@@ -59,8 +59,11 @@
     def on_message(self, connection: UpstreamChannel, array: list[bytes]) -> None:
         """Handles a RESP array; raises RespError if it is malformed, which closes the connection."""
 
-    def wants_message(self, first_item: bytes) -> bool:
-        """Whether the items after the head of an array with this first item are needed."""
+    def wants_item(self, first_item: bytes, size: int) -> bool:
+        """Whether an item of `size` bytes after the head of an array with this first item is kept.
+
+        Called each time some of its bytes arrive. An item that is not kept is empty.
+        """
 
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
         """Called once, when the connection has closed or could not be established."""
@@ -84,7 +87,7 @@
         self._close_reason: CloseReason | str = CloseReason.CLOSED_LOCALLY
         self.buffer = ReceiveBuffer(MAX_READ_SIZE)
         self.decoder = RespDecoder()
-        self.decoder.wanted = owner.wants_message
+        self.decoder.wanted = owner.wants_item
         self.local_failure = False  # this host lacked a descriptor, memory, a port or a route for it
         self.connected = False  # it was established, or reset by the peer while connecting
         self.closed = False
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -325,8 +325,8 @@
         """Counts an array."""
         self.count += 1
 
-    def wants_message(self, first_item: bytes) -> bool:
-        """Returns True: every array is needed."""
+    def wants_item(self, first_item: bytes, size: int) -> bool:
+        """Returns True: every item is needed."""
         return True
 
     def on_channel_closed(self, connection: UpstreamChannel, reason: str) -> None:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from conftest import make_incoming_request
 from fake_cache import resp_array
 from fastcgi_client import BEGIN_REQUEST, PARAMS, STDIN, fastcgi_record
 from request_router_harness import Client, RequestRouterHarness, WritableSocket
@@ -89,7 +90,7 @@
 # Guards against answers to attempts that were given up, which no budget counts.
 def test_body_of_an_answer_that_nobody_waits_for_is_not_kept() -> None:
     owner = MessageCounter()
-    owner.wants_message = lambda first_item: first_item == b"open"  # type: ignore[method-assign]
+    owner.wants_item = lambda first_item, size: first_item == b"open"  # type: ignore[method-assign]
     channel = UpstreamChannel(owner, Clock().now)
     for request_id, kept in ((b"gone", 0), (b"open", MAX_READ_SIZE // 2)):
         answer = resp_array(request_id, b"200", b"-", b"x" * MAX_READ_SIZE)
@@ -177,3 +178,57 @@
     applier = ConfigApplier.__new__(ConfigApplier)
     applier._program_mb = program_mb
     assert applier.buffer_limit(memory_mb) == expected
+
+
+# Guards against requests without a stated size that reserve no memory for their responses.
+def test_requests_of_unknown_size_reserve_memory_by_the_responses_of_others() -> None:
+    harness, limit = RequestRouterHarness(), 2 * MAX_OBJECT_BYTES
+    harness.budget.limit = limit
+    admission = harness.router.admission
+
+    def admitted() -> int:
+        """Returns how many requests of unknown size are admitted at the same time."""
+        requests = []
+        for _ in range(100):
+            incoming = make_incoming_request(Client().receive)
+            incoming.size_kb = 0.0
+            if (request := admission.admit(harness.clock.now(), incoming)) is None:
+                break
+            requests.append(request)
+        for request in requests:
+            admission.release(request)
+        return len(requests)
+
+    incoming = make_incoming_request(Client().receive)
+    incoming.size_kb = 0.0
+    assert admitted() == 2  # any response may have the largest size
+    for _ in range(20):
+        admission.record_body(incoming, MAX_OBJECT_BYTES // 20)
+    assert 10 < admitted() < 40
+
+
+# Guards against responses larger than expected that take the router over its memory limit.
+@pytest.mark.parametrize(
+    ("class_index", "expected"), [(0, ResponseStatus.REJECTED), (1, ResponseStatus.FAILED)]
+)
+def test_response_larger_than_expected_is_dropped_while_memory_is_short(
+    class_index: int, expected: ResponseStatus
+) -> None:
+    harness, client, sock = RequestRouterHarness(), Client(), WritableSocket()
+    harness.budget.limit = 50_000.0
+    incoming = make_incoming_request(client.receive)
+    incoming.class_index = class_index
+    assert harness.router.on_request(incoming) is not None
+    harness.router.run_decisions()
+    channel = harness.channels[0]
+    channel.on_connected(sock)
+    fields = b"tell=hit,ver=aa11,born=%d" % harness.clock.now()
+    answer = resp_array(incoming.request_id.encode(), b"200", fields, b"x" * MAX_OBJECT_BYTES)
+    for start in range(0, len(answer), MAX_READ_SIZE // 2):
+        channel.buffer.append(answer[start : start + MAX_READ_SIZE // 2])
+        channel.on_received()
+        assert len(channel.decoder._bulk) == 0
+        harness.budget.limit = 1e9  # a body of which a part was dropped stays dropped
+    assert [response.status for response in client.responses] == [expected]
+    assert harness.budget.used == 0
+    assert not channel.closed
