Drop the callback of an attempt that ends while it waits for its client's input

Cause: since an attempt that waits leaves a callback at its client's connection. If its request was withdrawn, the callback stayed until all input was processed, which never happens while a client sends without end; and it holds the attempt and its request.

Change: the end of an attempt cancels its callback, as it cancels its timer.

The new test fails before.

--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -148,7 +148,11 @@
     ),
     request_table.Attempt: Fields(
         "index instruction created_at sent_at purged ended reassigned body_dropped timeout_timer outcome",
-        {"request": REFERENCE, "body_bytes": "every body of the model has the same size"},
+        {
+            "request": REFERENCE,
+            "body_bytes": "every body of the model has the same size",
+            "input_callback": "none, as polls of the model process all input",
+        },
     ),
     endpoint_table.EndpointTable: Fields(
         "_endpoints", {"_starts": "not needed, as peers and router share one clock in the model"}
--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -62,7 +62,7 @@
             "_received_at": "in the model, bytes are read as soon as they arrive",
             "_records_left": "no client of the model sends as many records at once as a turn processes",
             "_processing_input": "false between steps",
-            "_input_waiters": "empty, as polls of the model process all input",
+            "_input_callbacks": "empty, as polls of the model process all input",
         },
     ),
     fastcgi.FastCgiDecoder: Fields(
--- a/edge_router/proxy/accounting.py
+++ b/edge_router/proxy/accounting.py
@@ -49,8 +49,7 @@
             return
         attempt.ended = True
         attempt.outcome = outcome
-        if attempt.timeout_timer is not None:
-            attempt.timeout_timer.cancel()
+        attempt.stop_waiting()
         self.counts[outcome.name.lower()] += 1
         if fill_result:
             self.counts[f"fill_{fill_result.name.lower()}"] += 1
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -141,7 +141,8 @@
         if not input_processed:
             self._accounting.counts["client_input_waits"] += 1
             self._detach(attempt)
-            client_input.call_when_input_processed(partial(self._enqueue, attempt))
+            attempt.input_callback = partial(self._on_input_processed, attempt)
+            client_input.call_when_input_processed(attempt.input_callback)
             return None
         now, instruction = self._clock.now(), attempt.instruction
         ready = self._endpoints.is_ready(instruction.endpoint_id) and self._source_ready(instruction)
@@ -149,6 +150,11 @@
         attempt.sent_at = now
         return encode_fetch(attempt, now)
 
+    def _on_input_processed(self, attempt: Attempt) -> None:
+        """Queue an attempt again that has waited for its client's input."""
+        attempt.input_callback = None
+        self._enqueue(attempt)
+
     def may_complete_send(self, attempt: Attempt) -> bool:
         """Return whether the rest of an attempt may be written, of which the first bytes were written before.
 
--- a/edge_router/proxy/messages.py
+++ b/edge_router/proxy/messages.py
@@ -50,6 +50,9 @@
         It is not called if the connection ends before, as its requests end then.
         """
 
+    def cancel_input_callback(self, callback: Callable[[], None]) -> None:
+        """Drops a callback, which may have been called already."""
+
 
 class NoClientInput:
     """The input of a request without a client connection."""
@@ -62,6 +65,9 @@
         """Calls `callback` at once."""
         callback()
 
+    def cancel_input_callback(self, callback: Callable[[], None]) -> None:
+        """Does nothing: no callback waits."""
+
 
 @dataclass(slots=True, eq=False)
 class IncomingRequest:
--- a/edge_router/proxy/request_table.py
+++ b/edge_router/proxy/request_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from edge_router.decision.messages import Outcome, StartAttempt
@@ -28,6 +28,7 @@
     body_bytes: int = 0  # announced size of the response's body; 0 until it begins to arrive
     body_dropped: bool = False  # there was no memory for it
     timeout_timer: TimerHandle | None = None
+    input_callback: Callable[[], None] | None = None  # while it waits for its client's input
     outcome: Outcome | None = None  # once it has ended
 
     @property
@@ -38,6 +39,14 @@
         """
         return self.created_at if self.sent_at is None else self.sent_at
 
+    def stop_waiting(self) -> None:
+        """Cancel what would continue or end it later."""
+        if self.timeout_timer is not None:
+            self.timeout_timer.cancel()
+        if self.input_callback is not None:
+            self.request.incoming.client_input.cancel_input_callback(self.input_callback)
+            self.input_callback = None
+
     def may_have_run(self) -> bool:
         """Return whether it was sent and nothing proves that it did not run."""
         return self.sent_at is not None and self.outcome not in PROVES_NOT_RUN
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -90,7 +90,9 @@
         self._received_at = clock()  # when that read was made
         self._records_left = False  # the buffer holds complete records, which wait for the next turn
         self._processing_input = False  # what is to be written then waits for the end of the turn
-        self._input_waiters: list[Callable[[], None]] = []  # called by `_on_input_processed`
+        self._input_callbacks: dict[
+            Callable[[], None], None
+        ] = {}  # called by `_on_input_processed`, in order
         self._control_records: deque[bytes] = deque()
         self._responses: deque[tuple[int, deque[bytes]]] = deque()
         self._unsent_bytes = 0  # bytes of `_responses`, reserved in the memory budget
@@ -170,7 +172,7 @@
     def on_closed(self) -> None:
         """Releases all memory and reports open requests as disconnected; must be the last call, made once."""
         self._decoder.close()
-        self._input_waiters.clear()
+        self._input_callbacks.clear()
         self._notify_disconnected()
         self._budget.release(self._unsent_bytes + self._blocked_write_bytes)
         self._unsent_bytes = self._blocked_write_bytes = 0
@@ -241,12 +243,16 @@
 
         It is not called if the connection ends before: its requests are reported as disconnected then.
         """
-        self._input_waiters.append(callback)
+        self._input_callbacks[callback] = None
+
+    def cancel_input_callback(self, callback: Callable[[], None]) -> None:
+        """Drops a callback: its request may end long before the input of a client that never stops."""
+        self._input_callbacks.pop(callback, None)
 
     def _on_input_processed(self) -> None:
         """Calls those that wait until all input is processed."""
-        waiters, self._input_waiters = self._input_waiters, []
-        for callback in waiters:
+        callbacks, self._input_callbacks = self._input_callbacks, {}
+        for callback in callbacks:
             callback()
 
     def _has_unread_input(self) -> bool:
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -199,6 +199,10 @@
         """Keeps the callback."""
         self.waiters.append(callback)
 
+    def cancel_input_callback(self, callback: Callable[[], None]) -> None:
+        """Drops the callback."""
+        self.waiters.remove(callback)
+
     def process_input(self) -> None:
         """Processes all input."""
         self.input_processed = True
@@ -230,6 +234,16 @@
     assert (request.incoming.request_id.encode() in sock.written) is not withdrawn
 
 
+# Guards against memory that grows with each request withdrawn by a client whose input is never processed.
+def test_withdrawn_request_leaves_no_callback_at_a_client_that_sends_without_end() -> None:
+    harness, client, sock = RequestRouterHarness(), UnreadClient(), WritableSocket()
+    request = request_of_unread_client(harness, client)
+    harness.channels[0].on_connected(sock)
+    assert len(client.waiters) == 1
+    harness.router.on_client_disconnected(request)
+    assert client.waiters == []
+
+
 # Guards against a healthy cache that is ejected since clients send without end, and their attempts wait.
 def test_attempt_that_waits_for_its_client_at_its_deadline_is_no_failure_of_the_cache() -> None:
     harness, client, sock = RequestRouterHarness(), UnreadClient(), WritableSocket()
