Let connections that always have input share a bounded number of turns

Cause: the work for one connection between two turns of the others is bounded, but not the work for all. Each connection takes a turn in each pass of the event loop, and a usual request needs about six passes; beside 340 to 500 connections that always have input a pass took some tenths of a second.

Change: a connection whose last read filled its buffer, or that has records left, asks for its next turn at a semaphore that all connections share. Four turns are given in a pass, first come first served. Connections whose input one turn takes never wait there. The bad clients lose nothing but the turns of others: the router does as much work for them in all.

Tests: test_connections_that_always_have_input_share_their_turns counts the turns of 40 connections in 40 passes: 40 to 164 now, 1,600 if each takes its own.

--- a/edge_router/server/client_acceptor.py
+++ b/edge_router/server/client_acceptor.py
@@ -17,7 +17,7 @@
 from edge_router.runtime.system_errors import RESOURCE_EXHAUSTED, is_local_failure
 from edge_router.runtime.timers import Timers
 from edge_router.server.supervisor import keep_running
-from edge_router.transport.client_connection import ClientConnection
+from edge_router.transport.client_connection import ClientConnection, busy_turns
 from edge_router.transport.close_reason import CloseReason
 from edge_router.transport.receive_age import age_at_accept
 
@@ -76,6 +76,7 @@
         self._budget = budget
         self._upstream_connection_count = upstream_connection_count
         self._spawn = spawn
+        self._shared_turns = busy_turns()
         self._scope = trio.CancelScope()
 
     async def run(self, listener: socket.socket) -> None:
@@ -173,6 +174,7 @@
             self._budget,
             self._timers.stall_duration,
             age_at_accept(sock),
+            self._shared_turns,
         )
         self.clients.add(client)
         self._spawn(partial(self._serve, sock, client))
--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -18,6 +18,8 @@
 from edge_router.transport.close_reason import CloseReason
 from edge_router.transport.receive_age import last_received_ago
 
+# Turns that connections with more input than one turn processes take together until all others had theirs.
+MAX_BUSY_TURNS = 4
 LINGER_TIMEOUT = 1.0  # seconds for which a closing connection still reads and discards input
 # Bytes of input that a closing connection processes at most, and after that discards at most.
 MAX_LINGER_BYTES = 1 << 20
@@ -27,6 +29,11 @@
 WRITE_TIMEOUT = 10.0  # seconds for which a client may leave its responses unread
 
 
+def busy_turns() -> trio.Semaphore:
+    """Returns the turns that the busy ones among some connections share, in the order in which they ask."""
+    return trio.Semaphore(MAX_BUSY_TURNS)
+
+
 def no_stall() -> float:
     """Returns 0: the default `stall_duration`, for a process that never stalls."""
     return 0.0
@@ -52,16 +59,20 @@
         budget: MemoryBudget,
         stall_duration: Callable[[], float] = no_stall,
         accept_delay: float = 0.0,
+        shared_turns: trio.Semaphore | None = None,
     ) -> None:
         """Wraps an accepted socket.
 
         `stall_duration` returns the milliseconds for which input may have waited because the process stalled;
-        `accept_delay` is the time in milliseconds for which the connection waited to be accepted.
+        `accept_delay` is the time in milliseconds for which the connection waited to be accepted;
+        `shared_turns`, from `busy_turns`, is the same for all connections of the process.
         """
         super().__init__(sock, handler, clock, budget)
         self._sock: socket.socket = sock
         self._stall_duration = stall_duration
         self._accept_delay = accept_delay
+        self._shared_turns = shared_turns or busy_turns()
+        self._more_input = False  # the last read filled the buffer, so more is probably left to read
         self._accepted_at = clock()
         # ms; no input that the last read left in the socket arrived before; None if it left none
         self._backlog_since: float | None = None
@@ -156,10 +167,14 @@
                 return str(error) or type(error).__name__
 
     async def _wait_for_turn(self) -> None:
-        """Waits until there may be input to process and the other connections had their turn."""
-        if self._records_left or self._input_left:
-            await trio.lowlevel.checkpoint()
-            return
+        """Waits until there may be input to process and the other connections had their turn.
+
+        A connection that always has input shares its turns with others of its kind. However many these are,
+        the time that usual connections wait for their turn stays bounded.
+        """
+        if self._records_left or self._input_left or self._more_input:
+            async with self._shared_turns:
+                return
         with trio.CancelScope() as self._input_wait:
             await trio.lowlevel.wait_readable(self._sock)
 
@@ -172,21 +187,24 @@
 
     def _receive(self) -> _Turn:
         """Reads once into the buffer; returns PROCESSED if there is input to process now."""
-        with self._buffer.writable_view() as view:
-            capacity = len(view)
-            try:
+        try:
+            with self._buffer.writable_view() as view:
+                capacity = len(view)
                 count = self._sock.recv_into(view)
-            except BlockingIOError:
-                self._backlog_since = None
-                return _Turn.NO_INPUT
-            except OSError as error:
-                if is_local_failure(error):
-                    return _Turn.NOT_READ
-                raise
+        except BlockingIOError:
+            self._buffer.shrink()
+            self._backlog_since = None
+            self._more_input = False
+            return _Turn.NO_INPUT
+        except OSError as error:
+            if is_local_failure(error):
+                return _Turn.NOT_READ
+            raise
         if not count:
             return _Turn.END_OF_STREAM
         self._buffer.commit(count)
-        self._record_unread_time(count == capacity)
+        self._more_input = count == capacity
+        self._record_unread_time(self._more_input)
         if self._close_reason:
             self._closing_bytes += count
         return _Turn.PROCESSED
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
 import trio
@@ -30,7 +31,12 @@
 from edge_router.runtime.clock import Clock
 from edge_router.runtime.memory_budget import MemoryBudget
 from edge_router.server.client_acceptor import ClientAcceptor
-from edge_router.transport.client_connection import MAX_POLL_RECORDS, ClientConnection
+from edge_router.transport.client_connection import (
+    MAX_BUSY_TURNS,
+    MAX_POLL_RECORDS,
+    ClientConnection,
+    busy_turns,
+)
 from edge_router.transport.client_session import (
     MAX_RECORDS_PER_TURN,
     MAX_REQUESTS_PER_TURN,
@@ -124,14 +130,49 @@
 
 
 @contextlib.contextmanager
-def connection_with_endless_input(data: bytes) -> Iterator[tuple[ClientConnection, AcceptingHandler]]:
+def connection_with_endless_input(
+    data: bytes, shared_turns: trio.Semaphore | None = None
+) -> Iterator[tuple[ClientConnection, AcceptingHandler]]:
     """A client connection, outside an event loop, that receives the data again and again."""
     ours, theirs = socket.socketpair()
     handler, budget = AcceptingHandler(), MemoryBudget()
     budget.limit = 1e6
     with EndlessSocket(ours, data) as sock, theirs:
         sock.setblocking(False)
-        yield ClientConnection(sock, handler, Clock().now, budget), handler
+        theirs.sendall(b"x")  # so that the system reports it as readable
+        yield ClientConnection(sock, handler, Clock().now, budget, shared_turns=shared_turns), handler
+
+
+# Guards against usual requests that wait for one turn of each of hundreds of clients that send at full speed.
+def test_connections_that_always_have_input_share_their_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    data = fastcgi_record(PARAMS, 2, bytes(8))  # a part of every buffer size, so that reads fill the buffer
+    turns: list[ClientConnection] = []
+    turns_after_pass: list[int] = []
+    take_turn = ClientConnection._take_turn
+
+    def count_turn(connection: ClientConnection) -> Any:
+        turns.append(connection)
+        return take_turn(connection)
+
+    async def run() -> None:
+        shared_turns = busy_turns()
+        with contextlib.ExitStack() as stack:
+            async with trio.open_nursery() as nursery:
+                for _ in range(10 * MAX_BUSY_TURNS):
+                    connection, _ = stack.enter_context(connection_with_endless_input(data, shared_turns))
+                    nursery.start_soon(connection.run)
+                for _ in range(60):
+                    await trio.lowlevel.checkpoint()
+                    turns_after_pass.append(len(turns))
+                nursery.cancel_scope.cancel()
+
+    monkeypatch.setattr(ClientConnection, "_take_turn", count_turn)
+    trio.run(run)
+    # In the first passes each connection finds out that it has more input than one turn takes.
+    passes, first = 40, 10
+    taken = turns_after_pass[first + passes] - turns_after_pass[first]
+    assert passes <= taken <= (passes + 1) * MAX_BUSY_TURNS
+    assert len(set(turns[-10 * MAX_BUSY_TURNS :])) == 10 * MAX_BUSY_TURNS  # one after the other
 
 
 # Guards against a poll before an attempt that reads for as long as the client sends.
