Keep room for the parameters of usual requests beside half requests of others

Cause: incomplete requests share half of the budget, whoever sends them. Once half requests use up the share exactly, not a byte of another request has a place until they time out after 2 s. Whether that happens depended on how the bytes fell into reads.

Change: the first 4 KB of the incomplete requests of each connection count only against the whole budget. That is enough for usual parameters, and little for all connections together.

The new test fails before.

--- a/edge_router/model_checker/fingerprint/transport.py
+++ b/edge_router/model_checker/fingerprint/transport.py
@@ -6,7 +6,14 @@
 from functools import partial
 from typing import Any
 
-from edge_router.model_checker.fingerprint.common import REFERENCE, REPORTED, Fields, Ledger, ReferenceFrame
+from edge_router.model_checker.fingerprint.common import (
+    DERIVED,
+    REFERENCE,
+    REPORTED,
+    Fields,
+    Ledger,
+    ReferenceFrame,
+)
 from edge_router.model_checker.fingerprint.proxy import encode_command
 from edge_router.protocol import fastcgi
 from edge_router.protocol.resp import RespDecoder
@@ -68,6 +75,7 @@
     fastcgi.FastCgiDecoder: Fields(
         "_partial_requests open_ids consecutive_rejections keep_connection _record",
         {
+            "_partial_bytes": DERIVED,
             "completed_records": "only compared before and after one read",
             "_budget": REFERENCE,
             "_clock": REFERENCE,
--- a/edge_router/protocol/fastcgi.py
+++ b/edge_router/protocol/fastcgi.py
@@ -225,6 +225,7 @@
         self._budget = budget
         self._clock = clock
         self._partial_requests: dict[int, _PartialRequest] = {}
+        self._partial_bytes = 0  # reserved for them
         self._record: _PartialRecord | None = None
         self.completed_records = 0  # since the connection was opened
         self.open_ids: set[int] = set()  # ids in use, until their END_REQUEST is written
@@ -395,10 +396,11 @@
 
         A request that once found too little is rejected at its end, so all of its content is dropped.
         """
-        if not partial.over_budget and self._budget.can_reserve_incomplete(count):
+        if not partial.over_budget and self._budget.can_reserve_incomplete(count, self._partial_bytes):
             self._budget.reserve_incomplete(count)
+            self._partial_bytes += count
             return True
-        self._budget.release_incomplete(partial.size())
+        self._release(partial)
         partial.params, partial.body, partial.over_budget = bytearray(), bytearray(), True
         return False
 
@@ -428,4 +430,9 @@
 
     def _discard_partial(self, request_id: int) -> None:
         """Removes a partial request and releases its memory."""
-        self._budget.release_incomplete(self._partial_requests.pop(request_id).size())
+        self._release(self._partial_requests.pop(request_id))
+
+    def _release(self, partial: _PartialRequest) -> None:
+        """Releases the memory that is reserved for a partial request."""
+        self._budget.release_incomplete(partial.size())
+        self._partial_bytes -= partial.size()
--- a/edge_router/runtime/memory_budget.py
+++ b/edge_router/runtime/memory_budget.py
@@ -4,6 +4,9 @@
 
 # Fraction of the limit for requests that are not complete; the rest is kept for those that can be answered.
 INCOMPLETE_SHARE = 0.5
+# Bytes of the incomplete requests of one client that its share does not limit, enough for the parameters of a
+# usual one. Else all requests would be rejected while those of other clients use up the share.
+CLIENT_ALLOWANCE = 4096
 # Bytes that incomplete requests may always use within the limit, enough for one of the largest size.
 MIN_INCOMPLETE_BYTES = 98_304
 
@@ -28,8 +31,13 @@
         """Whether `count` more bytes fit within the limit."""
         return self._used + count <= self.limit
 
-    def can_reserve_incomplete(self, count: int) -> bool:
-        """Whether `count` more bytes of an incomplete request fit within the limit and its share of it."""
+    def can_reserve_incomplete(self, count: int, held: int) -> bool:
+        """Whether `count` more bytes of an incomplete request fit within the limit and its share of it.
+
+        `held` is how many bytes its client's incomplete requests use already.
+        """
+        if held + count <= CLIENT_ALLOWANCE:
+            return self.can_reserve(count)
         incomplete_limit = max(MIN_INCOMPLETE_BYTES, self.limit * INCOMPLETE_SHARE)
         return self.can_reserve(count) and self._incomplete + count <= incomplete_limit
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -15,14 +15,14 @@
 from fastcgi_client import BEGIN_REQUEST, PARAMS, STDIN, fastcgi_record
 from request_router_harness import Client, RequestRouterHarness, WritableSocket
 from router_harness import RouterHarness
-from test_client_floods import MessageCounter
+from test_client_floods import MessageCounter, encode
 from test_race_conditions import AcceptingHandler
 
 from edge_router.protocol.buffer import INITIAL_SIZE, ReceiveBuffer
 from edge_router.protocol.resp import MAX_BULK_SIZE, MAX_READ_SIZE, RespDecoder, RespError
 from edge_router.proxy.messages import MAX_OBJECT_BYTES, ResponseStatus
 from edge_router.runtime.clock import Clock
-from edge_router.runtime.memory_budget import MemoryBudget
+from edge_router.runtime.memory_budget import INCOMPLETE_SHARE, MemoryBudget
 from edge_router.runtime.timers import MIN_COMPACTED_TIMERS, Timers
 from edge_router.server.config_applier import MIN_BUFFER_BYTES, ConfigApplier
 from edge_router.transport.client_session import MAX_BUFFERED_BYTES, ClientSession
@@ -156,6 +156,23 @@
     assert ResponseStatus.REJECTED not in [response.status for response in client.responses]
 
 
+# Guards against usual requests that are rejected while half requests of others use up their share exactly.
+def test_parameters_of_a_usual_request_are_kept_while_others_use_up_the_share() -> None:
+    budget = MemoryBudget()
+    budget.limit = 1e6
+    budget.reserve_incomplete(round(budget.limit * INCOMPLETE_SHARE))
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        handler = AcceptingHandler()
+        session = ClientSession(ours, handler, Clock().now, budget)
+        session._buffer.append(encode(1))
+        session.on_received()
+        assert handler.request_count == 1
+        session._buffer.append(half_request(2)[:MAX_BUFFERED_BYTES])  # much more than that has no place
+        session.on_received()
+        assert session._decoder._partial_requests[2].over_budget
+
+
 # Guards against memory that grows with each request that ends long before its time is over.
 def test_cancelled_timers_are_dropped() -> None:
     clock = Clock(lambda: 0.0, lambda: 0.0)
