--- a/edge_router/protocol/buffer.py
+++ b/edge_router/protocol/buffer.py
@@ -1,11 +1,11 @@
-"""The receive buffer of a connection: it grows as needed, and gives its memory back once it is empty."""
+"""The receive buffer of a connection: it grows as needed, and has no memory while it is empty."""
 
 from __future__ import annotations
 
 import struct
 from typing import Any
 
-INITIAL_SIZE = 4096  # bytes of a new buffer, and the default minimum size of a view to receive into
+INITIAL_SIZE = 4096  # bytes of a buffer that is used, and the default minimum size of a view to receive into
 
 
 class BufferFullError(Exception):
@@ -16,7 +16,7 @@
     """A byte buffer of at most `max_size` bytes; those from `_start` up to `_end` are unread."""
 
     def __init__(self, max_size: int) -> None:
-        self._data = bytearray(INITIAL_SIZE)
+        self._data = bytearray()
         self._max_size = max_size
         self._start = 0
         self._end = 0
@@ -48,8 +48,8 @@
 
     def shrink(self) -> None:
         """Gives the memory of an empty buffer back, as its connection may rest for long."""
-        if self._start == self._end and len(self._data) > INITIAL_SIZE:
-            self._data = bytearray(INITIAL_SIZE)
+        if self._start == self._end and self._data:
+            self._data = bytearray()
             self._start = self._end = 0
 
     def commit(self, count: int) -> None:
