End the open requests of a client at once when a poll meets invalid input

Cause: a poll before an attempt that met a protocol error began to close the connection and reported "all input processed", though it had read nothing behind the error, where the end of the stream may be. The attempt was sent. The reading task, which meets the same error, ends the connection and its requests; the poll did not.

Change: the poll reports the open requests as disconnected, as at the end of the stream.

--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -226,8 +226,8 @@
         """Reads and processes the input within the limits of one poll; returns whether that was all of it.
 
         What is left is processed by the reading task, one turn after the other. If the stream has ended or
-        failed, reports the open requests as disconnected; the reading task then ends the connection. Starts
-        to close the connection if the input is invalid.
+        failed, or the input is invalid, reports the open requests as disconnected; the reading task then ends
+        the connection. What follows invalid input is unknown, and may be the end of the stream.
         """
         if self._reading.cancel_called:
             return True
@@ -238,6 +238,7 @@
             if self._process_available_input():
                 return True
         except (BufferFullError, FastCgiError) as error:
+            self._notify_disconnected()
             self._start_closing(str(error))
             return True
         except OSError:
