Do not run a request again under an id that may have run

Cause: only the ids of open requests were refused. A request whose client has left counts as answered, and its entry is gone once its attempt is cancelled, so its id was free although it may have run.

An id that never ran is free, and so are those of idempotent classes.

--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -74,6 +74,8 @@
             "counts": REPORTED,
             "invariants": REPORTED,
             "_max_queue_time": REPORTED,
+            "_classes": FIXED,
+            "_run_history": "no client of the model uses an id twice",
         },
     ),
     response_handler.ResponseHandler: Fields(
--- a/edge_router/proxy/accounting.py
+++ b/edge_router/proxy/accounting.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from edge_router.decision.messages import AttemptEnded, Event, FillResult, Outcome
-from edge_router.decision.settings import Settings
+from edge_router.decision.settings import Idempotency, Settings
 from edge_router.proxy.admission import AdmissionController
 from edge_router.proxy.invariants import InvariantChecker
 from edge_router.proxy.request_table import ActiveRequest, Attempt
+from edge_router.proxy.run_history import RunHistory
 from edge_router.runtime.clock import Clock
 from edge_router.runtime.event_log import log, log_rate_limited
 
@@ -33,6 +34,8 @@
         self._post = post_event
         self.counts: Counter[str] = Counter()
         self.invariants = InvariantChecker(settings, self.counts)
+        self._classes = settings.classes
+        self._run_history = RunHistory()
         self._max_queue_time = 0.0  # ms; longest wait to be shed or routed since the last statistics line
 
     def attempt_ended(
@@ -95,8 +98,20 @@
             if request.backstop_timer is not None:
                 request.backstop_timer.cancel()
             self.invariants.check_closed(request)
+            if self._must_not_run_again(request):
+                self._run_history.record(self._clock.now(), request.incoming.request_id)
             self._admission.release(request)
 
+    def _must_not_run_again(self, request: ActiveRequest) -> bool:
+        settings = self._classes[request.incoming.class_index]
+        return settings.idempotency is not Idempotency.IDEMPOTENT and any(
+            attempt.may_have_run() for attempt in request.attempts
+        )
+
+    def may_have_run(self, request_id: str) -> bool:
+        """Returns whether a finished request of that id may have run, and must not run again."""
+        return self._run_history.may_have_run(self._clock.now(), request_id)
+
     def record_queue_time(self, queue_time: float) -> None:
         """Records for how long (ms) a request waited until it was shed or routed."""
         self._max_queue_time = max(self._max_queue_time, queue_time)
--- a/edge_router/proxy/fastcgi_frontend.py
+++ b/edge_router/proxy/fastcgi_frontend.py
@@ -113,8 +113,8 @@
             incoming = self._parser.parse(path, header_fields(params), body, respond)
             incoming.time_unread = connection.time_unread
             incoming.client_input = connection
-            if self._router.requests.is_unanswered(incoming.request_id):
-                raise BadRequestError(HTTPStatus.BAD_REQUEST, "X-Txn is the id of another open request")
+            if conflict := self._router.id_conflict(incoming):
+                raise BadRequestError(HTTPStatus.BAD_REQUEST, f"X-Txn is the id of {conflict}")
         except BadRequestError as error:
             log_rate_limited("bad-request", status=error.status.value, reason=str(error))
             head = _encode_head(_ERROR_STATUS_LINES[error.status], {"Content-Length": 0})
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -5,6 +5,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 from functools import partial
 from typing import Any
 
@@ -23,7 +24,7 @@
 )
 from edge_router.decision.policy import RoutingPolicy
 from edge_router.decision.purges import purge_retention
-from edge_router.decision.settings import Settings
+from edge_router.decision.settings import Idempotency, Settings
 from edge_router.discovery.endpoint_table import EndpointTable
 from edge_router.discovery.events import DiscoveryEvent
 from edge_router.discovery.purge_history import PurgeHistory
@@ -47,6 +48,13 @@
 BACKSTOP_DELAY = 20.0
 
 
+class IdConflict(StrEnum):
+    """Why a request may not use its id; the values are part of the log."""
+
+    OPEN = "another open request"
+    MAY_HAVE_RUN = "a request that may have run"
+
+
 class RequestRouter:
     """The core of the router. It never blocks, and it does not depend on the protocol of the clients."""
 
@@ -106,6 +114,16 @@
         }
         self._logged_at: dict[str, float] = {}  # when each text of the policy was last logged
 
+    def id_conflict(self, incoming: IncomingRequest) -> IdConflict | None:
+        """Return why a new request may not use its id; None if it may."""
+        active = self.requests.find(incoming.request_id)
+        if active is not None and not active.answered:
+            return IdConflict.OPEN
+        idempotent = self._settings.classes[incoming.class_index].idempotency is Idempotency.IDEMPOTENT
+        if (active is not None and not idempotent) or self.accounting.may_have_run(incoming.request_id):
+            return IdConflict.MAY_HAVE_RUN
+        return None
+
     def on_request(self, incoming: IncomingRequest) -> ActiveRequest | None:
         """Admit a request and queue it for routing; None if it was rejected and thereby answered."""
         now = self._clock.now()
--- a/edge_router/proxy/request_table.py
+++ b/edge_router/proxy/request_table.py
@@ -99,10 +99,9 @@
         self._by_request_id[incoming.request_id] = request
         return request
 
-    def is_unanswered(self, request_id: str) -> bool:
-        """Return whether a request of that id is active and not answered."""
-        request = self._by_request_id.get(request_id)
-        return request is not None and not request.answered
+    def find(self, request_id: str) -> ActiveRequest | None:
+        """Return the active request of that id, answered or not; None if there is none."""
+        return self._by_request_id.get(request_id)
 
     def get(self, request_number: int) -> ActiveRequest | None:
         """Return the request of that number; None if it is not active."""
