Tell a new process at an address from the one that it has replaced

Cause: the router took an id, or an address, for the process behind it. In particular - an endpoint stayed listed, and got requests, while one that had started later was listed at its address, until the list told of its end (lists come up to 2.3 s late); - an attempt that waited for its connection was sent to whatever process the endpoint had by then, also at another address than the one its connection led to; - an event that removes an endpoint and lists it again left the connections to the earlier process open; - failures of the earlier process counted against its successor, and ejected it.

Change: an endpoint is taken for removed once another that started later is listed at its address (log event endpoint-superseded); endpoints of one start time at one address are left alone. An attempt keeps the start times of its cache and its source, and is not sent if they have changed (not_sent_endpoint-restarted); the policy then decides anew, within the slow-start budget. If the endpoint has moved, the attempt is queued for a connection to its address. Failures of attempts from before the present process's start are not counted.

Not shown and not mended: until the list tells of a new process, nothing in the protocol tells it from the old.

--- a/edge_router/decision/outcome_recorder.py
+++ b/edge_router/decision/outcome_recorder.py
@@ -114,11 +114,20 @@
         elif attempt.fill_expected:
             self._source_failed(now, attempt)
 
+    def _began_before_start(self, attempt: AttemptRecord, endpoint_id: EndpointId) -> bool:
+        """Whether the endpoint's process has started since; the failure was that of an earlier one then."""
+        endpoint = self._directory.endpoints.get(endpoint_id)
+        return endpoint is not None and attempt.started_at < endpoint.started_at
+
     def _cache_failed(self, now: float, attempt: AttemptRecord, score: float = 1) -> None:
+        if self._began_before_start(attempt, attempt.endpoint_id):
+            return
         if self._directory.cache_failed(now, attempt.endpoint_id, attempt.started_at, score):
             self._report_ejection("cache", attempt.endpoint_id)
 
     def _source_failed(self, now: float, attempt: AttemptRecord) -> None:
+        if self._began_before_start(attempt, attempt.source_id):
+            return
         if self._directory.source_failed(now, attempt.source_id, attempt.started_at):
             self._report_ejection("source", attempt.source_id)
 
--- a/edge_router/decision/rules.py
+++ b/edge_router/decision/rules.py
@@ -30,6 +30,7 @@
     WINDOW_OVER = "window-over"  # the attempt is a repeat, and the deduplication window has passed
     REPEAT_FORBIDDEN = "repeat-forbidden"  # another attempt may have run, and this cache won't recognise it
     ENDPOINT_NOT_READY = "node-not-ready"  # the cache is draining or removed
+    ENDPOINT_RESTARTED = "endpoint-restarted"  # the cache or the source is not the process that was selected
     SOURCE_NOT_READY = "source-not-ready"  # the source of its fill is draining or removed
 
 
@@ -43,13 +44,15 @@
     repeat_denial: SendDenial | None,
     endpoint_ready: bool,
     source_ready: bool,
+    restarted: bool,
 ) -> SendDenial | None:
     """Why an attempt whose first byte is about to be written may not be sent; None if it may.
 
     `answered`: the request has its final answer, or its client has disconnected. `purged`: a purge was
     received after the policy started the attempt. `deadline`, `start_before`: the times by which the request
     has to be answered and the attempt has to start. `repeat_denial`: the result of the function of this name
-    for the attempts of the request that were sent by now, also those that were created later.
+    for the attempts of the request that were sent by now, also those that were created later. `restarted`:
+    the endpoint or its source has started again since it was selected, and is cold.
     """
     if answered:
         return SendDenial.ANSWERED
@@ -65,6 +68,8 @@
         return SendDenial.ENDPOINT_NOT_READY
     if not source_ready:
         return SendDenial.SOURCE_NOT_READY
+    if restarted:
+        return SendDenial.ENDPOINT_RESTARTED
     return None
 
 
--- a/edge_router/discovery/endpoint_table.py
+++ b/edge_router/discovery/endpoint_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from edge_router.decision.messages import Endpoint, EndpointId, EndpointState
@@ -20,6 +21,7 @@
 
     def __init__(self) -> None:
         self._endpoints: dict[EndpointId, ListedEndpoint] = {}
+        self._ids_by_address: dict[tuple[str, int], set[EndpointId]] = {}
         self._starts: dict[EndpointId, _StartTime] = {}
 
     def __len__(self) -> int:
@@ -29,13 +31,15 @@
         """Replaces the table by a complete list, or updates the endpoints that have changed."""
         if change.complete:
             self._endpoints = {}
+            self._ids_by_address = {}
         for listed in change.endpoints:
             endpoint_id = listed.endpoint.endpoint_id
+            self._remove(endpoint_id)
             if listed.endpoint.state is EndpointState.GONE:
-                self._endpoints.pop(endpoint_id, None)
                 self._starts.pop(endpoint_id, None)
             else:
                 self._endpoints[endpoint_id] = listed
+                self._ids_by_address.setdefault((listed.host, listed.port), set()).add(endpoint_id)
 
         if change.complete:
             self._starts = {
@@ -44,6 +48,31 @@
                 if endpoint_id in self._endpoints
             }
 
+    def _remove(self, endpoint_id: EndpointId) -> None:
+        """Removes an endpoint, if it is listed."""
+        listed = self._endpoints.pop(endpoint_id, None)
+        if listed is None:
+            return
+        address = listed.host, listed.port
+        self._ids_by_address[address].discard(endpoint_id)
+        if not self._ids_by_address[address]:
+            del self._ids_by_address[address]
+
+    def remove_superseded(self, changed: Iterable[ListedEndpoint]) -> list[ListedEndpoint]:
+        """Removes the endpoints whose address now belongs to another one that has started later.
+
+        Only one process listens at an address, so the earlier ones have gone, though the list does not say so
+        yet. Looks at the addresses of `changed`; returns what was removed.
+        """
+        removed: list[ListedEndpoint] = []
+        for address in {(listed.host, listed.port) for listed in changed}:
+            sharing = [self._endpoints[endpoint_id] for endpoint_id in self._ids_by_address.get(address, ())]
+            latest_start = max((listed.endpoint.started_at for listed in sharing), default=0.0)
+            removed += [listed for listed in sharing if listed.endpoint.started_at < latest_start]
+        for listed in removed:
+            self._remove(listed.endpoint.endpoint_id)
+        return removed
+
     def local_start_time(self, endpoint_id: EndpointId, unix: float) -> float | None:
         """Returns the moment on the router's clock recorded for a start at that Unix time (ms), if any."""
         start = self._starts.get(endpoint_id)
@@ -62,6 +91,11 @@
         """Whether the endpoint is listed, in any state."""
         return endpoint_id in self._endpoints
 
+    def started_at(self, endpoint_id: EndpointId) -> float:
+        """Returns when the endpoint's process started (ms); 0 if that is unknown or it is not listed."""
+        listed = self._endpoints.get(endpoint_id)
+        return listed.endpoint.started_at if listed is not None else 0.0
+
     def is_ready(self, endpoint_id: EndpointId) -> bool:
         """Whether the endpoint may take new requests, or be the source of a fill."""
         listed = self._endpoints.get(endpoint_id)
--- a/edge_router/model_checker/fingerprint/proxy.py
+++ b/edge_router/model_checker/fingerprint/proxy.py
@@ -8,6 +8,7 @@
 from edge_router.decision.messages import StartAttempt
 from edge_router.discovery import endpoint_table, purge_history
 from edge_router.model_checker.fingerprint.common import (
+    DERIVED,
     FIXED,
     REFERENCE,
     REPORTED,
@@ -149,7 +150,8 @@
         {"request_number": "requests are named by their position in the scope"},
     ),
     request_table.Attempt: Fields(
-        "index instruction created_at sent_at purged ended reassigned body_dropped timeout_timer outcome",
+        "index instruction created_at sent_at purged ended reassigned body_dropped timeout_timer outcome "
+        "process_starts",
         {
             "request": REFERENCE,
             "body_bytes": "every body of the model has the same size",
@@ -157,7 +159,11 @@
         },
     ),
     endpoint_table.EndpointTable: Fields(
-        "_endpoints", {"_starts": "not needed, as peers and router share one clock in the model"}
+        "_endpoints",
+        {
+            "_ids_by_address": DERIVED,
+            "_starts": "not needed, as peers and router share one clock in the model",
+        },
     ),
     MemoryBudget: Fields("limit _used _incomplete", {}),
 }
@@ -261,6 +267,7 @@
         attempt.ended,
         attempt.reassigned,
         attempt.body_dropped,
+        tuple(map(frame.time, attempt.process_starts)),
         _timer_state(attempt.timeout_timer),
         -1 if attempt.outcome is None else int(attempt.outcome),
     )
--- a/edge_router/model_checker/mutations/proxy.py
+++ b/edge_router/model_checker/mutations/proxy.py
@@ -234,7 +234,7 @@
         "alarm-not-taken-off",
         accounting.RequestAccounting,
         "attempt_ended",
-        "attempt.timeout_timer.cancel()",
+        "attempt.stop_waiting()",
         "attempt.ended = False",
         ("hedge", "deadline"),
         "ends-once",
--- a/edge_router/proxy/discovery_updates.py
+++ b/edge_router/proxy/discovery_updates.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
-from edge_router.decision.messages import Endpoint, EndpointListUpdate, Event, PurgeReceived, UpdateKind
+from edge_router.decision.messages import (
+    Endpoint,
+    EndpointListUpdate,
+    EndpointState,
+    Event,
+    PurgeReceived,
+    UpdateKind,
+)
 from edge_router.discovery.endpoint_table import EndpointTable
-from edge_router.discovery.events import DiscoveryEvent, EndpointsChanged, ObjectsPurged
+from edge_router.discovery.events import DiscoveryEvent, EndpointsChanged, ListedEndpoint, ObjectsPurged
 from edge_router.discovery.purge_history import PurgeHistory
 from edge_router.proxy.dispatcher import AttemptDispatcher
 from edge_router.proxy.request_table import RequestTable
@@ -64,23 +72,42 @@
             address._replace(endpoint=self._with_local_start(address.endpoint)) for address in event.endpoints
         )
         self._endpoints.apply(EndpointsChanged(event.complete, addresses))
+        superseded = self._endpoints.remove_superseded(addresses)
         kind = UpdateKind.FULL if event.complete else UpdateKind.DELTA
-        self._post(EndpointListUpdate(kind, tuple(address.endpoint for address in addresses)))
+        listed = [address.endpoint for address in addresses]
+        removed = [address.endpoint._replace(state=EndpointState.GONE) for address in superseded]
+        self._post(EndpointListUpdate(kind, (*listed, *removed)))
         for address in addresses:
-            endpoint = address.endpoint
-            if endpoint.started_at > 0:
-                self._dispatcher.pool.close_opened_before(endpoint.endpoint_id, endpoint.started_at)
-            log(
-                "endpoint",
-                id=f"s-{endpoint.endpoint_id:08x}",
-                state=endpoint.state.name.lower(),
-                role=endpoint.role,
-                zone=endpoint.zone,
-                started_at=f"{endpoint.started_at:.0f}",
-                address=f"{address.host}:{address.port}",
-            )
+            self._close_outdated_connections(address.endpoint)
+            self._log_endpoint("endpoint", address)
+        for address in superseded:
+            self._log_endpoint("endpoint-superseded", address)
         self._dispatcher.pool.close_removed_endpoints()
 
+    def _close_outdated_connections(self, endpoint: Endpoint) -> None:
+        """Close the connections to earlier processes of a listed endpoint.
+
+        The event that tells of its removal may also list it again.
+        """
+        if endpoint.state is EndpointState.GONE:
+            if self._endpoints.contains(endpoint.endpoint_id):
+                self._dispatcher.pool.close_opened_before(endpoint.endpoint_id, math.inf)
+        elif endpoint.started_at > 0:
+            self._dispatcher.pool.close_opened_before(endpoint.endpoint_id, endpoint.started_at)
+
+    @staticmethod
+    def _log_endpoint(event: str, address: ListedEndpoint) -> None:
+        endpoint = address.endpoint
+        log(
+            event,
+            id=f"s-{endpoint.endpoint_id:08x}",
+            state=endpoint.state.name.lower(),
+            role=endpoint.role,
+            zone=endpoint.zone,
+            started_at=f"{endpoint.started_at:.0f}",
+            address=f"{address.host}:{address.port}",
+        )
+
     def _with_local_start(self, endpoint: Endpoint) -> Endpoint:
         """Return the endpoint with its start time converted from Unix ms to ms of the router's clock.
 
--- a/edge_router/proxy/dispatcher.py
+++ b/edge_router/proxy/dispatcher.py
@@ -81,6 +81,18 @@
             instruction.source_id
         )
 
+    def _endpoint_moved(self, attempt: Attempt) -> bool:
+        """Return whether the endpoint has another address than the connection of an attempt."""
+        endpoint_id, connection = attempt.instruction.endpoint_id, self._connection_of.get(attempt)
+        if connection is None or not self._endpoints.contains(endpoint_id):
+            return False
+        return connection.address != self._endpoints.address(endpoint_id)
+
+    def process_starts(self, instruction: StartAttempt) -> tuple[float, float]:
+        """Return when the processes of an attempt's endpoint and of its source started (ms; 0: unknown)."""
+        endpoint_start = self._endpoints.started_at(instruction.endpoint_id)
+        return endpoint_start, self._endpoints.started_at(instruction.source_id)
+
     def _repeat_denial(self, attempt: Attempt) -> SendDenial | None:
         """Return why an attempt may not be sent now after others of its request; None if it may.
 
@@ -114,6 +126,7 @@
             repeat_denial=self._repeat_denial(attempt),
             endpoint_ready=self._endpoints.is_ready(instruction.endpoint_id),
             source_ready=self._source_ready(instruction),
+            restarted=self.process_starts(instruction) != attempt.process_starts,
         )
         if denial is None:
             return True
@@ -145,6 +158,10 @@
             client_input.call_when_input_processed(attempt.input_callback)
             return None
         now, instruction = self._clock.now(), attempt.instruction
+        if self._endpoint_moved(attempt):
+            self._detach(attempt)
+            self._enqueue(attempt)
+            return None
         ready = self._endpoints.is_ready(instruction.endpoint_id) and self._source_ready(instruction)
         self._accounting.invariants.check_send(attempt, now, ready)
         attempt.sent_at = now
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -238,7 +238,8 @@
             return
         deadline = min(action.deadline, request.deadline) if action.deadline > 0 else request.deadline
         instruction = action._replace(deadline=deadline)
-        attempt = Attempt(request, len(request.attempts), instruction, self._clock.now())
+        starts = self.dispatcher.process_starts(instruction)
+        attempt = Attempt(request, len(request.attempts), instruction, self._clock.now(), starts)
         request.attempts.append(attempt)
         if request.ended_by_shutdown:
             self.accounting.attempt_ended(attempt, Outcome.NOT_SENT)
--- a/edge_router/proxy/request_table.py
+++ b/edge_router/proxy/request_table.py
@@ -21,6 +21,8 @@
     index: int
     instruction: StartAttempt
     created_at: float
+    # Start times of the processes that were selected, the cache and the source of its fill; 0 if unknown.
+    process_starts: tuple[float, float] = (0.0, 0.0)
     sent_at: float | None = None  # when its first byte was written; None: not sent
     purged: bool = False  # a purge of its object arrived after the instruction
     ended: bool = False
