Make room in a full table of clients within moments, also behind half requests

Cause: silent clients were half-closed 16 at a time, and the next ones only 62 ms later; clients with half requests were never evicted, and left after the receive timeout of 2 s. New connections were accepted one in each pass of the event loop.

Change: a client that has never sent anything is closed at once, as nothing can be lost; how long it has been silent counts from when it connected, also before it was accepted. If no client is silent or idle, those that have not completed a request for 500 ms get an error (408) and are closed. Both happen only while the table is full. Up to 16 connections are accepted in a pass. The eviction has a module of its own.

--- a/edge_router/protocol/fastcgi.py
+++ b/edge_router/protocol/fastcgi.py
@@ -312,6 +312,10 @@
         ]:
             yield self._complete_as_invalid(request_id, RequestError.RECEIVE_TIMEOUT)
 
+    def has_partial_since(self, started_before: float) -> bool:
+        """Returns whether a partial request began before this time (ms on the clock)."""
+        return any(partial.started_at < started_before for partial in self._partial_requests.values())
+
     def close(self) -> None:
         """Releases the memory of partial requests; no input may follow."""
         for request_id in list(self._partial_requests):
--- a/edge_router/server/client_acceptor.py
+++ b/edge_router/server/client_acceptor.py
@@ -1,8 +1,7 @@
-"""Accepts client connections, keeps a table of them, and evicts idle ones when the table is full."""
+"""Accepts client connections and keeps a table of them."""
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import socket
 from collections.abc import Awaitable, Callable
@@ -16,6 +15,7 @@
 from edge_router.runtime.memory_budget import MemoryBudget
 from edge_router.runtime.system_errors import RESOURCE_EXHAUSTED, is_local_failure
 from edge_router.runtime.timers import Timers
+from edge_router.server.client_eviction import ClientEvictor
 from edge_router.server.supervisor import keep_running
 from edge_router.transport.client_connection import ClientConnection, busy_turns
 from edge_router.transport.close_reason import CloseReason
@@ -26,14 +26,9 @@
 TIMEOUT_CHECK_INTERVAL = 0.25  # seconds between two checks of requests that clients send slowly
 # Seconds. A check that runs later than this is skipped: the delay is this process's fault, not the clients'.
 MAX_TIMEOUT_CHECK_LAG = 0.5
-MIN_SILENT_TIME = 100.0  # ms for which a new client may send nothing before it can be evicted
-# Milliseconds after the last byte received or written before an idle client may be evicted, as its next
-# request may be in flight; also the time between the half-close of a client and its forced close.
-MIN_IDLE_TIME = 60.0
-EVICTION_BATCH = 0.125  # fraction of `max_clients` evicted at once, because each search visits every client
 FULL_TABLE_DELAY = 0.01  # seconds until the next search, after one that neither selected nor closed a client
 EVICTION_DELAY = 0.001  # seconds until the next search, after one that selected or closed clients
-ACCEPT_BATCH = 16  # connections accepted at shutdown until other tasks have their turn
+ACCEPT_BATCH = 16  # connections accepted until other tasks have their turn
 EXHAUSTED_DELAY = 0.05  # seconds before the next accept(2) when descriptors or memory are exhausted
 FINAL_RETRY_DELAY = 0.01  # seconds before the next accept(2) after a local shortage at shutdown
 # Initial value and lower bound of `max_clients`; half of the smallest number of sockets that is configurable.
@@ -76,6 +71,7 @@
         self._budget = budget
         self._upstream_connection_count = upstream_connection_count
         self._spawn = spawn
+        self._evictor = ClientEvictor(self.clients)
         self._shared_turns = busy_turns()
         self._scope = trio.CancelScope()
 
@@ -137,11 +133,13 @@
     async def _accept_loop(self, listener: socket.socket) -> None:
         while True:
             if len(self.clients) >= self.max_clients:
-                await trio.sleep(EVICTION_DELAY if self._evict_idle() else FULL_TABLE_DELAY)
+                evicted = self._evictor.evict(self._clock.now())
+                await trio.sleep(EVICTION_DELAY if evicted else FULL_TABLE_DELAY)
                 continue
             try:
                 await trio.lowlevel.wait_readable(listener)
-                self._accept_one(listener)
+                for _ in range(min(ACCEPT_BATCH, self.max_clients - len(self.clients))):
+                    self._accept_one(listener)
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -157,7 +155,7 @@
             upstream_connections=self._upstream_connection_count(),
         )
         if exhausted:
-            self._evict_idle()
+            self._evictor.evict(self._clock.now())
             await trio.sleep(EXHAUSTED_DELAY)
 
     def _accept_one(self, listener: socket.socket) -> None:
@@ -189,34 +187,3 @@
                     log_rate_limited("client-connection-error", reason=reason)
             finally:
                 self.clients.discard(client)
-
-    def _evict_idle(self) -> bool:
-        """Evicts clients in two steps; returns whether any was closed or selected.
-
-        If any closing client is fully answered, closes those of them whose half-close and last traffic are at
-        least `MIN_IDLE_TIME` ago, and selects no others. Else selects the longest silent clients or, if there
-        are none, the longest idle ones, and half-closes them unless input has arrived. The time between the
-        steps lets a client that is just sending a request see an orderly end instead of a reset.
-        """
-        now = self._clock.now()
-        closing = [client for client in self.clients if client.is_closing() and client.is_fully_answered()]
-        if closing:
-            expired = [client for client in closing if client.last_used <= now - MIN_IDLE_TIME]
-            for client in expired:
-                client.close()
-            return bool(expired)
-        candidates = self._silent_clients(now) or self._idle_clients(now)
-        batch_size = round(self.max_clients * EVICTION_BATCH)
-        for client in heapq.nsmallest(batch_size, candidates, key=lambda client: client.last_used):
-            client.close_if_idle(CloseReason.EVICTED)
-        return bool(candidates)
-
-    def _silent_clients(self, now: float) -> list[ClientConnection]:
-        """Returns the clients that connected at least `MIN_SILENT_TIME` ago and have sent nothing since."""
-        used_before = now - MIN_SILENT_TIME
-        return [client for client in self.clients if client.silent and client.last_used <= used_before]
-
-    def _idle_clients(self, now: float) -> list[ClientConnection]:
-        """Returns the clients that have had no open request for at least `MIN_IDLE_TIME`."""
-        used_before = now - MIN_IDLE_TIME
-        return [client for client in self.clients if client.is_idle() and client.last_used <= used_before]
--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -74,6 +74,7 @@
         self._shared_turns = shared_turns or busy_turns()
         self._more_input = False  # the last read filled the buffer, so more is probably left to read
         self._accepted_at = clock()
+        self.last_used = self._accepted_at - accept_delay
         # ms; no input that the last read left in the socket arrived before; None if it left none
         self._backlog_since: float | None = None
         # Set by a poll that left input, until the reading task has processed all of it. Polls do nothing
--- a/edge_router/transport/client_session.py
+++ b/edge_router/transport/client_session.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -231,6 +232,26 @@
         if not self._close_reason and (self.is_idle() or self.silent) and not self._has_unread_input():
             self._start_closing(reason)
 
+    def close_if_silent(self) -> bool:
+        """Closes the connection at once if nothing has arrived on it; returns whether it does."""
+        if not self.silent or self._has_unread_input():
+            return False
+        self.close()
+        return True
+
+    def is_incomplete_since(self, begun_before: float) -> bool:
+        """Whether nothing complete is open, and a request or record began before that time (ms)."""
+        if self._close_reason or self._decoder.complete_count():
+            return False
+        record_begun = self._partial_since is not None and self._partial_since < begun_before
+        return record_begun or self._decoder.has_partial_since(begun_before)
+
+    def reject_incomplete(self, reason: CloseReason) -> None:
+        """Passes all incomplete requests to the handler as invalid, and starts to close the connection."""
+        for event in self._decoder.expire_partial(math.inf):
+            self._handler.on_request(self, *event)
+        self._start_closing(reason)
+
     def poll_input(self) -> bool:
         """Processes input that has arrived, such as an abort; called right before an attempt is sent.
 
