Share the buffer for discarded input among all closing connections

Since half requests in a full table are rejected, hundreds of connections close at the same time; before, they did so when the requests of hundreds of clients timed out together.

Change: one buffer for all, as nothing reads it.

--- a/edge_router/transport/client_connection.py
+++ b/edge_router/transport/client_connection.py
@@ -26,6 +26,7 @@
 # Turns and records of one poll; enough for `MAX_OPEN_REQUESTS` requests that arrived in several reads.
 MAX_POLL_TURNS = 16
 MAX_POLL_RECORDS = 512
+_DISCARDED = bytearray(WRITE_SIZE)  # shared by all closing connections, as nobody reads it
 WRITE_TIMEOUT = 10.0  # seconds for which a client may leave its responses unread
 
 
@@ -137,13 +138,13 @@
 
         Closing with unread bytes would reset the socket and lose responses.
         """
-        discarded, remaining = bytearray(WRITE_SIZE), MAX_LINGER_BYTES
+        remaining = MAX_LINGER_BYTES
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
         with trio.move_on_after(LINGER_TIMEOUT), contextlib.suppress(OSError):
             while remaining > 0:
                 await trio.lowlevel.wait_readable(self._sock)
-                if not (count := self._sock.recv_into(discarded)):
+                if not (count := self._sock.recv_into(_DISCARDED)):
                     break
                 remaining -= count
 
