Limit the policy's tables by the memory that connections and buffers leave

Cause: the tables of requested objects, of copies and of rankings have up to 20,000 entries each, some 20 MB together, whatever the limit is. No part of the memory plan counted them.

Change: MemoryPlan divides what the program leaves of the limit among connections, buffers and tables (1.1 KB an object), 2,000 objects at least, and ConfigApplier applies it at the start and at each reload. With 20 MB for them, as with 192 MB, the tables are as large as before; with 56 MB and 512 descriptors about 6,600 objects.

Tests: the parts fit into limits of 48 to 192 MB, and the tables keep to their limit together; both need the new interface.

--- a/edge_router/decision/copy_tracker.py
+++ b/edge_router/decision/copy_tracker.py
@@ -9,7 +9,7 @@
 from edge_router.decision.purges import RecentPurges
 
 COPY_LIFETIME_FACTOR = 1.0  # multiple of the slow-start duration; a copy used within it counts as cached
-MAX_TRACKED_COPIES = 20_000
+MAX_TRACKED_COPIES = 20_000  # unless memory is short
 
 
 class CopyTracker:
@@ -19,6 +19,7 @@
         """`purges` has the recent purges, which make older copies unusable; it is only read."""
         self._lifetime = COPY_LIFETIME_FACTOR * slow_start_duration
         self._purges = purges
+        self.max_copies = MAX_TRACKED_COPIES
         self.last_used: dict[tuple[int, int, EndpointId], float] = {}  # by object, segment and cache
 
     def record(self, now: float, request: RequestReceived, cache_id: EndpointId) -> None:
@@ -31,7 +32,7 @@
         self.last_used[copy] = now
         for _ in range(2):
             oldest = next(iter(self.last_used))
-            if len(self.last_used) < MAX_TRACKED_COPIES and now - self.last_used[oldest] <= self._lifetime:
+            if len(self.last_used) < self.max_copies and now - self.last_used[oldest] <= self._lifetime:
                 break
             del self.last_used[oldest]
 
--- a/edge_router/decision/endpoint_directory.py
+++ b/edge_router/decision/endpoint_directory.py
@@ -15,7 +15,7 @@
     UpdateKind,
 )
 from edge_router.decision.outlier_detection import EJECTION_TIME_FACTOR, OutlierDetector, OutlierDetectors
-from edge_router.decision.placement import RendezvousHash, slow_start_threshold
+from edge_router.decision.placement import MAX_CACHED_RANKINGS, RendezvousHash, slow_start_threshold
 from edge_router.decision.settings import Settings
 from edge_router.decision.slow_start import SlowStartBudget
 
@@ -30,6 +30,7 @@
         """Starts with an empty list."""
         self._settings = settings
         self._ejection_time = EJECTION_TIME_FACTOR * max(settings.connect_timeout, 1.0)
+        self.max_rankings = MAX_CACHED_RANKINGS  # that each hash caches, from the next list on
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self.cache_outliers: OutlierDetectors = defaultdict(OutlierDetector)
         self.source_outliers: OutlierDetectors = defaultdict(OutlierDetector)
@@ -85,8 +86,8 @@
                 parents.append(endpoint)
             elif endpoint.role != settings.origin_role and endpoint.zone == settings.zone:
                 caches.append(endpoint)
-        self.parents = RendezvousHash(parents, weighted)
-        self.caches = RendezvousHash(caches, weighted)
+        self.parents = RendezvousHash(parents, weighted, self.max_rankings)
+        self.caches = RendezvousHash(caches, weighted, self.max_rankings)
 
     def cache_accepts(self, now: float, key: int, cache_id: EndpointId) -> bool:
         """Whether the cache is not ejected and, in slow start, already takes this key."""
--- a/edge_router/decision/placement.py
+++ b/edge_router/decision/placement.py
@@ -15,7 +15,7 @@
 
 from edge_router.decision.messages import Endpoint, EndpointId, RequestReceived
 
-MAX_CACHED_RANKINGS = 20_000  # least recently used ones are dropped
+MAX_CACHED_RANKINGS = 20_000  # unless memory is short; least recently used ones are dropped
 MASK_64_BITS = (1 << 64) - 1
 
 
@@ -56,12 +56,17 @@
     `endpoints` maps ids to endpoints. `ranked(key)` returns the ids, the home of the key first.
     """
 
-    def __init__(self, endpoints: Sequence[Endpoint], weighted: bool) -> None:
-        """If not `weighted`, or if the weight of an endpoint is not positive, its weight counts as 1."""
+    def __init__(
+        self, endpoints: Sequence[Endpoint], weighted: bool, max_rankings: int = MAX_CACHED_RANKINGS
+    ) -> None:
+        """If not `weighted`, or if the weight of an endpoint is not positive, its weight counts as 1.
+
+        At most `max_rankings` are cached.
+        """
         self.endpoints = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         weights = [
             (endpoint.endpoint_id, endpoint.weight if weighted and endpoint.weight > 0 else 1.0)
             for endpoint in endpoints
         ]
         # A cached method would refer to this object; the reference cycle would keep it after a list update.
-        self.ranked = lru_cache(MAX_CACHED_RANKINGS)(partial(ranked_endpoints, weights))
+        self.ranked = lru_cache(max_rankings)(partial(ranked_endpoints, weights))
--- a/edge_router/decision/policy.py
+++ b/edge_router/decision/policy.py
@@ -19,7 +19,7 @@
 from edge_router.decision import rules
 from edge_router.decision.candidate_selector import CandidateSelector
 from edge_router.decision.class_work import ClassWork
-from edge_router.decision.copy_tracker import CopyTracker
+from edge_router.decision.copy_tracker import MAX_TRACKED_COPIES, CopyTracker
 from edge_router.decision.endpoint_directory import EndpointDirectory
 from edge_router.decision.link_loads import LinkLoads
 from edge_router.decision.messages import (
@@ -46,7 +46,8 @@
 )
 from edge_router.decision.outcome_recorder import OutcomeRecorder
 from edge_router.decision.pending_request import AttemptRecord, PendingRequest
-from edge_router.decision.popularity import COUNT_HALF_LIFE_FACTOR, Popularity
+from edge_router.decision.placement import MAX_CACHED_RANKINGS
+from edge_router.decision.popularity import COUNT_HALF_LIFE_FACTOR, MAX_COUNTED_OBJECTS, Popularity
 from edge_router.decision.purges import RecentPurges, purge_retention
 from edge_router.decision.retry_budget import RetryBudget
 from edge_router.decision.settings import Settings
@@ -101,6 +102,12 @@
             handler(now, event)
         return self._actions
 
+    def limit_tracked_objects(self, count: int) -> None:
+        """Limits each table that has entries for objects; what is over the limit is dropped step by step."""
+        self.popularity.max_objects = min(count, MAX_COUNTED_OBJECTS)
+        self.copies.max_copies = min(count, MAX_TRACKED_COPIES)
+        self.directory.max_rankings = min(count, MAX_CACHED_RANKINGS)
+
     def _emit(self, action: Action) -> None:
         self._actions.append(action)
 
--- a/edge_router/decision/popularity.py
+++ b/edge_router/decision/popularity.py
@@ -12,7 +12,7 @@
 
 HIT_SHARE_THRESHOLD = 0.9  # least part of all requests that the top set receives
 COUNT_HALF_LIFE_FACTOR = 4.0  # multiple of the longer one of slow-start duration and purge settle time
-MAX_COUNTED_OBJECTS = 20_000  # the less popular half is dropped when a new object exceeds it
+MAX_COUNTED_OBJECTS = 20_000  # unless memory is short; the less popular half is dropped when it is exceeded
 MIN_RANKED_REQUESTS = 50  # requests counted before the ranking is used
 RANKING_INTERVAL = 50  # requests between two rankings at least; more with many objects
 MAX_WEIGHT_DOUBLINGS = 30  # all counts are rescaled before the weight exceeds this power of two
@@ -35,6 +35,7 @@
     def __init__(self, half_life: float) -> None:
         """Counts halve every `half_life` milliseconds."""
         self._half_life = max(half_life, 1.0)
+        self.max_objects = MAX_COUNTED_OBJECTS
         self._counts: dict[int, ObjectCount] = {}
         self._total_count = 0.0
         self._total_kb = 0.0
@@ -72,7 +73,7 @@
         weight = self._request_weight(now)
         item = self._counts.get(object_key)
         if item is None:
-            if len(self._counts) >= MAX_COUNTED_OBJECTS:
+            if len(self._counts) >= self.max_objects:
                 self._drop_less_popular_half()
             item = self._counts[object_key] = ObjectCount(size_kb)
         item.count += weight
@@ -92,7 +93,7 @@
         Their requests stay in the total, since the shares of the other objects would be overstated otherwise.
         """
         by_count = sorted(self._counts, key=lambda key: (-self._counts[key].count, key))
-        self._counts = {key: self._counts[key] for key in by_count[: MAX_COUNTED_OBJECTS // 2]}
+        self._counts = {key: self._counts[key] for key in by_count[: self.max_objects // 2]}
 
     @staticmethod
     def _density(item: ObjectCount) -> float:
--- a/edge_router/model_checker/fingerprint/decision.py
+++ b/edge_router/model_checker/fingerprint/decision.py
@@ -48,6 +48,7 @@
         {
             "_settings": FIXED,
             "_ejection_time": FIXED,
+            "max_rankings": FIXED,
             "origins": DERIVED,
             "parents": DERIVED,
             "caches": DERIVED,
@@ -65,7 +66,7 @@
             "_zone_link_transfers": FIXED,
         },
     ),
-    CopyTracker: Fields("last_used", {"_lifetime": FIXED, "_purges": REFERENCE}),
+    CopyTracker: Fields("last_used", {"_lifetime": FIXED, "_purges": REFERENCE, "max_copies": FIXED}),
     RetryBudget: Fields("tokens", {"ratio": FIXED, "burst": FIXED}),
     CandidateSelector: Fields("", {"_directory": REFERENCE, "_loads": REFERENCE, "_popularity": REFERENCE}),
     OutcomeRecorder: Fields(
@@ -112,7 +113,7 @@
     Popularity: Fields(
         "_counts _total_count _total_kb _weight_origin _request_count _next_ranking_at _top_set_min_count "
         "_rank_cutoffs",
-        {"_half_life": FIXED},
+        {"_half_life": FIXED, "max_objects": FIXED},
     ),
 }
 
--- a/edge_router/proxy/request_router.py
+++ b/edge_router/proxy/request_router.py
@@ -196,6 +196,10 @@
         """Handle a change of the endpoints or a purge."""
         self._discovery_updates.apply(event)
 
+    def limit_tracked_objects(self, count: int) -> None:
+        """Limit how many objects the routing policy keeps figures of."""
+        self._policy.limit_tracked_objects(count)
+
     def statistics(self) -> dict[str, float]:
         """Return the policy's figures for the statistics in the log."""
         return self._policy.statistics(self._clock.now())
--- a/edge_router/server/config_applier.py
+++ b/edge_router/server/config_applier.py
@@ -7,23 +7,12 @@
 from edge_router.config.platform_file import RouterConfig
 from edge_router.config.reload import check_same_router
 from edge_router.discovery.change_log_watcher import ChangeLogWatcher
-from edge_router.proxy.connection_pool import connection_limit
 from edge_router.proxy.request_router import RequestRouter
 from edge_router.runtime.event_log import log
 from edge_router.runtime.memory_budget import MemoryBudget
 from edge_router.server.client_acceptor import MIN_CLIENTS, ClientAcceptor
-from edge_router.server.memory_gauge import MemoryGauge
+from edge_router.server.memory_plan import MemoryPlan
 
-# Fractions of the memory limit, and of what the program leaves of it when it is ready, that buffered requests
-# and responses may use. The rest is for the state of requests and connections, for the buffers of those that
-# receive, and for copies of data, which the memory budget does not count. Where many connections are allowed,
-# their state may need more than that.
-BUFFER_MEMORY_SHARE = 0.25
-BUFFER_HEADROOM_SHARE = 0.5
-# Bytes of the state of one connection, with its task and a part of its input.
-CLIENT_BYTES = 14_000
-UPSTREAM_BYTES = 14_000
-MIN_BUFFER_BYTES = 1e6  # one request with its response, also where the program needs nearly all of the limit
 RESTART_FIELDS = ("transfer_bandwidth", "settings")  # fields of `RouterConfig` that only a restart changes
 
 
@@ -43,49 +32,16 @@
         self._router = router
         self._acceptor = acceptor
         self._change_log = change_log
-        gauge = MemoryGauge()
-        self._program_mb = gauge.resident_mb()  # before the first request; NaN if it is not known
-        gauge.close()
-
-    def buffer_limit(self, memory_mb: float, connection_bytes: float = 0.0) -> float:
-        """Returns how many bytes requests and responses may use under a memory limit in MB (10**6 bytes).
-
-        `connection_bytes` is what the state of all connections needs.
-        """
-        share = memory_mb * BUFFER_MEMORY_SHARE * 1e6
-        headroom = self._headroom(memory_mb)
-        if math.isnan(headroom):
-            return share
-        available = min(headroom * BUFFER_HEADROOM_SHARE, headroom - connection_bytes)
-        return min(share, max(MIN_BUFFER_BYTES, available))
-
-    def _headroom(self, memory_mb: float) -> float:
-        """Returns how many bytes the program leaves of the memory limit when it is ready; NaN if unknown."""
-        return (memory_mb - self._program_mb) * 1e6
-
-    def client_limit(self, max_sockets: int, memory_mb: float) -> int:
-        """Returns how many clients may be connected.
-
-        They get half of the sockets, as far as their state leaves memory for requests. The third of the
-        sockets that usual clients may hold is never cut.
-        """
-        wanted = max_sockets // 2
-        headroom = self._headroom(memory_mb)
-        if not math.isnan(headroom):
-            upstream_bytes = connection_limit(max_sockets) * UPSTREAM_BYTES
-            fitting = math.floor((headroom - MIN_BUFFER_BYTES - upstream_bytes) / CLIENT_BYTES)
-            wanted = min(wanted, max(max_sockets // 3, fitting))
-        return max(MIN_CLIENTS, wanted)
+        self._memory_plan = MemoryPlan.measured()
 
     def apply_limits(self, config: RouterConfig) -> None:
         """Applies the limits on sockets, memory and CPU."""
-        # Clients get half of the sockets, and upstream connections a third; the rest is a reserve.
-        max_clients = self.client_limit(config.max_sockets, config.memory_mb)
-        max_upstream = connection_limit(config.max_sockets)
-        connection_bytes = max_clients * CLIENT_BYTES + max_upstream * UPSTREAM_BYTES
-        self._acceptor.max_clients = max_clients
-        self._budget.limit = self.buffer_limit(config.memory_mb, connection_bytes)
-        self._router.dispatcher.pool.max_connections = max_upstream
+        allotment = self._memory_plan.allot(config.memory_mb, config.max_sockets)
+        self._acceptor.max_clients = max(MIN_CLIENTS, allotment.max_clients)
+        self._budget.limit = allotment.buffer_bytes
+        self._router.dispatcher.pool.max_connections = allotment.max_upstream_connections
+        if allotment.tracked_objects < math.inf:
+            self._router.limit_tracked_objects(int(allotment.tracked_objects))
         self._router.admission.cpu_credit.set_share(config.cpu_cores)
 
     def reload(self, config: RouterConfig) -> None:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import make_incoming_request
+from conftest import PolicyHarness, make_incoming_request, started_attempts
 from fake_cache import resp_array
 from fastcgi_client import BEGIN_REQUEST, PARAMS, STDIN, fastcgi_record
 from request_router_harness import Client, RequestRouterHarness, WritableSocket
@@ -19,13 +19,22 @@
 from test_client_floods import MessageCounter, encode
 from test_race_conditions import AcceptingHandler
 
+from edge_router.decision.messages import FillResult
+from edge_router.decision.popularity import MAX_COUNTED_OBJECTS
 from edge_router.protocol.buffer import ReceiveBuffer
 from edge_router.protocol.resp import MAX_BULK_SIZE, MAX_READ_SIZE, RespDecoder, RespError
 from edge_router.proxy.messages import MAX_OBJECT_BYTES, ResponseStatus
 from edge_router.runtime.clock import Clock
 from edge_router.runtime.memory_budget import INCOMPLETE_SHARE, MemoryBudget
 from edge_router.runtime.timers import MIN_COMPACTED_TIMERS, Timers
-from edge_router.server.config_applier import CLIENT_BYTES, MIN_BUFFER_BYTES, ConfigApplier
+from edge_router.server.memory_plan import (
+    CLIENT_BYTES,
+    MIN_BUFFER_BYTES,
+    MIN_TRACKED_OBJECTS,
+    OBJECT_BYTES,
+    UPSTREAM_BYTES,
+    MemoryPlan,
+)
 from edge_router.transport.client_session import MAX_BUFFERED_BYTES, ClientSession
 from edge_router.transport.upstream_channel import UpstreamChannel
 
@@ -219,25 +228,39 @@
 def test_buffers_use_a_part_of_the_memory_that_the_program_leaves(
     memory_mb: float, program_mb: float, expected: float
 ) -> None:
-    applier = ConfigApplier.__new__(ConfigApplier)
-    applier._program_mb = program_mb
-    assert applier.buffer_limit(memory_mb) == expected
-
-
-# Guards against many connections whose state needs the memory that buffers may use.
-@pytest.mark.parametrize(
-    ("memory_mb", "sockets", "max_clients"), [(192.0, 1024, 512), (48.0, 1024, 512), (40.0, 1024, 341)]
-)
-def test_state_of_connections_and_buffers_together_fit_into_the_memory(
-    memory_mb: float, sockets: int, max_clients: int
-) -> None:
-    applier = ConfigApplier.__new__(ConfigApplier)
-    applier._program_mb = 30.0
-    assert applier.client_limit(sockets, memory_mb) == max_clients
-    connection_bytes = max_clients * CLIENT_BYTES
-    buffers = applier.buffer_limit(memory_mb, connection_bytes)
-    assert buffers >= MIN_BUFFER_BYTES
-    assert connection_bytes + buffers <= (memory_mb - applier._program_mb) * 1e6
+    assert MemoryPlan(program_mb).buffer_limit(memory_mb) == expected
+
+
+# Guards against connections and tables whose memory no limit counts, beside buffers that use all of theirs.
+@pytest.mark.parametrize("sockets", [256, 512, 1024])
+@pytest.mark.parametrize("memory_mb", [192.0, 96.0, 64.0, 56.0, 48.0])
+def test_connections_buffers_and_tables_together_fit_into_the_memory(memory_mb: float, sockets: int) -> None:
+    plan = MemoryPlan(30.0)
+    allotment = plan.allot(memory_mb, sockets)
+    assert allotment.max_clients >= sockets // 3
+    assert allotment.buffer_bytes >= MIN_BUFFER_BYTES
+    used = (
+        allotment.max_clients * CLIENT_BYTES
+        + allotment.max_upstream_connections * UPSTREAM_BYTES
+        + allotment.buffer_bytes
+        + min(MAX_COUNTED_OBJECTS, allotment.tracked_objects) * OBJECT_BYTES
+    )
+    assert used <= (memory_mb - plan.program_mb) * 1e6 or allotment.tracked_objects == MIN_TRACKED_OBJECTS
+
+
+# Guards against tables that grow with each new object until the router is over its memory limit.
+def test_tables_of_the_policy_are_limited_together() -> None:
+    policy = PolicyHarness()
+    policy.routing_policy.limit_tracked_objects(500)
+    policy.update_endpoint(policy.endpoints[0].endpoint_id)
+    for key in range(2_000):
+        attempt = started_attempts(policy.request(key=key, size_kb=0.1))[0]
+        policy.end_attempt(attempt, fill_result=FillResult.HIT)
+    routing_policy = policy.routing_policy
+    assert len(routing_policy.popularity._counts) <= 500
+    assert len(routing_policy.copies.last_used) <= 500
+    for hashing in (routing_policy.directory.caches, routing_policy.directory.parents):
+        assert hashing.ranked.cache_info().currsize <= 500
 
 
 # Guards against requests without a stated size that reserve no memory for their responses.
