Make changes of the endpoint list cost next to nothing for caches that are never used

Cause: each change, however small, sorted all endpoints and built both hashes anew (2.9 ms with 3,200), and all frames of one read were processed without giving way.

Change: the directory keeps the endpoints that may be selected (those of the own zone, parents and origins) in a table of their own, and builds the lists from it, only when one of these changes. After eight frames the change log lets other tasks run, and counts that as progress.

Tests: a change in another zone rebuilds nothing (fails before for each state), frames of one read let other tasks run (fails before); six that guard the lists against missing a change hold before and after.

--- a/edge_router/decision/endpoint_directory.py
+++ b/edge_router/decision/endpoint_directory.py
@@ -32,6 +32,7 @@
         self._ejection_time = EJECTION_TIME_FACTOR * max(settings.connect_timeout, 1.0)
         self.max_rankings = MAX_CACHED_RANKINGS  # that each hash caches, from the next list on
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        self._selectable: dict[EndpointId, Endpoint] = {}  # those that may be in one of the three lists below
         self.cache_outliers: OutlierDetectors = defaultdict(OutlierDetector)
         self.source_outliers: OutlierDetectors = defaultdict(OutlierDetector)
         self.cache_budget = SlowStartBudget(
@@ -54,8 +55,10 @@
         Drops the outlier detectors of removed and restarted endpoints, and the charges of removed ones.
         """
         before = self.endpoints
-        if event.kind is not UpdateKind.DELTA:
+        lists_change = event.kind is not UpdateKind.DELTA
+        if lists_change:
             self.endpoints = {}
+            self._selectable = {}
         for endpoint in event.endpoints:
             endpoint_id = endpoint.endpoint_id
             known = before.get(endpoint_id)
@@ -66,25 +69,39 @@
                 self.endpoints.pop(endpoint_id, None)
             else:
                 self.endpoints[endpoint_id] = endpoint
+            lists_change |= self._update_selectable(endpoint)
         for outliers in (self.cache_outliers, self.source_outliers):
             for endpoint_id in [each for each in outliers if each not in self.endpoints]:
                 del outliers[endpoint_id]
         self.cache_budget.forget_unlisted(self.endpoints)
         self.parent_budget.forget_unlisted(self.endpoints)
-        self._sort_by_role()
+        if lists_change:
+            self._sort_by_role()
+
+    def _update_selectable(self, endpoint: Endpoint) -> bool:
+        """Adds, replaces or removes an endpoint; returns whether it is or was one that may be selected.
+
+        In a large fleet most changes are for caches of other zones, and must cost next to nothing.
+        """
+        settings = self._settings
+        was_selectable = self._selectable.pop(endpoint.endpoint_id, None) is not None
+        selectable = endpoint.state is EndpointState.READY and (
+            endpoint.role in (settings.parent_role, settings.origin_role) or endpoint.zone == settings.zone
+        )
+        if selectable:
+            self._selectable[endpoint.endpoint_id] = endpoint
+        return was_selectable or selectable
 
     def _sort_by_role(self) -> None:
         settings, weighted = self._settings, self._settings.endpoints_weighted
         parents, caches = [], []
         self.origins: list[EndpointId] = []
-        for endpoint in sorted(self.endpoints.values()):
-            if endpoint.state is not EndpointState.READY:
-                continue
+        for endpoint in sorted(self._selectable.values()):
             if endpoint.role == settings.origin_role:
                 self.origins.append(endpoint.endpoint_id)
             if endpoint.role == settings.parent_role:
                 parents.append(endpoint)
-            elif endpoint.role != settings.origin_role and endpoint.zone == settings.zone:
+            elif endpoint.role != settings.origin_role:
                 caches.append(endpoint)
         self.parents = RendezvousHash(parents, weighted, self.max_rankings)
         self.caches = RendezvousHash(caches, weighted, self.max_rankings)
--- a/edge_router/discovery/change_log_watcher.py
+++ b/edge_router/discovery/change_log_watcher.py
@@ -21,6 +21,7 @@
 # The idle timeout, one backoff and the first connect timeout together fit into the 4 s, and the latter two
 # into the 2 s. The longer connect timeouts follow only if connecting took longer than the one before.
 IDLE_TIMEOUT = 2.5  # seconds without progress until a connection is closed; heartbeats come every second
+FRAMES_PER_TURN = 8  # that are processed until other tasks have their turn
 MIN_PROGRESS_BYTES = 4096  # part of a frame that counts as progress, as a long list arrives slowly
 MIN_BACKOFF, MAX_BACKOFF = 0.05, 0.4  # seconds before reconnecting, doubled from the one to the other
 BACKOFF_JITTER = 0.5  # fraction of a backoff that is random, so that routers do not all reconnect at once
@@ -143,10 +144,13 @@
                     return DisconnectReason.CLOSED
                 buffer.commit(count)
                 progress += count
-                for frame in decode_frames(buffer):
+                for number, frame in enumerate(decode_frames(buffer), 1):
                     progress = MIN_PROGRESS_BYTES
                     if not self._decoder.process(frame, listener):
                         raise SequenceGapError(frame.sequence)
+                    if number % FRAMES_PER_TURN == 0:
+                        idle.deadline = trio.current_time() + IDLE_TIMEOUT
+                        await trio.lowlevel.checkpoint()
                 if progress >= MIN_PROGRESS_BYTES:
                     progress = 0
                     idle.deadline = trio.current_time() + IDLE_TIMEOUT
--- a/edge_router/model_checker/fingerprint/decision.py
+++ b/edge_router/model_checker/fingerprint/decision.py
@@ -49,6 +49,7 @@
             "_settings": FIXED,
             "_ejection_time": FIXED,
             "max_rankings": FIXED,
+            "_selectable": DERIVED,
             "origins": DERIVED,
             "parents": DERIVED,
             "caches": DERIVED,
