Retry the import of the server if its libraries can't open a file for a moment

Cause: trio looks for a library of the system when it is imported; on arm64 that creates a temporary file. Only the steps after the imports were retried.

The modules of a failed import are dropped first, since a package of which half is loaded twice does not work (seen in a trial).

--- a/edge_router/__main__.py
+++ b/edge_router/__main__.py
@@ -8,6 +8,6 @@
 
         command_line()
     else:
-        from edge_router.server.main import main
+        from edge_router.server.startup import import_server
 
-        sys.exit(main())
+        sys.exit(import_server()())
--- a/edge_router/fault_injection/faulty_router.py
+++ b/edge_router/fault_injection/faulty_router.py
@@ -12,7 +12,6 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
 from typing import Any, ClassVar
 
 from edge_router.fault_injection.system_call_faults import (
@@ -122,10 +121,9 @@
 def main() -> int:
     """Runs one router with the faults given in the environment; returns its exit status."""
     install(FaultSchedule.from_json(os.environ[FAULTS_VARIABLE]))
-    from edge_router.server.main import main as serve
+    from edge_router.server.startup import import_server
 
-    run: Callable[[], int] = serve
-    return run()
+    return import_server()()
 
 
 if __name__ == "__main__":
--- a/edge_router/server/startup.py
+++ b/edge_router/server/startup.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import sys
 import time
 from collections.abc import Callable
 from typing import TypeVar
@@ -20,7 +21,21 @@
 Result = TypeVar("Result")
 
 
-def retry_transient_errors(step: Callable[[], Result]) -> Result:
+def _is_transient(error: Exception) -> bool:
+    """Returns whether a retry of the step may succeed."""
+    if isinstance(error, ConfigUnreadableError):
+        return error.errno is not None and error.errno not in PERMANENT_FILE_ERRORS
+    return isinstance(error, OSError) and (is_local_failure(error) or error.errno == errno.EADDRINUSE)
+
+
+def _is_system_error(error: Exception) -> bool:
+    """Returns whether a system call failed, whatever error a library made of it."""
+    return isinstance(error, OSError)
+
+
+def retry_transient_errors(
+    step: Callable[[], Result], is_transient: Callable[[Exception], bool] = _is_transient
+) -> Result:
     """Runs the step until it succeeds and returns its result; blocks the process meanwhile.
 
     Raises the step's error if it is not transient, or if the step still fails after `RETRY_PERIOD`.
@@ -31,7 +46,7 @@
         try:
             result = step()
         except (OSError, ConfigUnreadableError) as error:
-            if not _is_transient(error) or time.monotonic() >= started_at + RETRY_PERIOD:
+            if not is_transient(error) or time.monotonic() >= started_at + RETRY_PERIOD:
                 raise
             last_error = error
             time.sleep(RETRY_DELAY)
@@ -42,11 +57,20 @@
             return result
 
 
-def _is_transient(error: Exception) -> bool:
-    """Returns whether a retry of the step may succeed."""
-    if isinstance(error, ConfigUnreadableError):
-        return error.errno is not None and error.errno not in PERMANENT_FILE_ERRORS
-    return isinstance(error, OSError) and (is_local_failure(error) or error.errno == errno.EADDRINUSE)
+def import_server() -> Callable[[], int]:
+    """Imports the server and returns its entry point; on import, its libraries look for others in files."""
+    loaded_before = set(sys.modules)
+
+    def step() -> Callable[[], int]:
+        try:
+            from edge_router.server.main import main
+        except OSError:
+            for name in set(sys.modules) - loaded_before:  # else half of a package would be loaded twice
+                del sys.modules[name]
+            raise
+        return main
+
+    return retry_transient_errors(step, _is_system_error)
 
 
 def load_config() -> RouterConfig:
--- a/tests/test_system_call_failures.py
+++ b/tests/test_system_call_failures.py
@@ -236,6 +236,8 @@
         (SystemCall.SOCKET, "ENFILE", ""),
         (SystemCall.OPEN, "EMFILE", "config.json"),
         (SystemCall.OPEN, "EIO", "config.json"),
+        # Guards against a router that ends, as a library it imports looks for another one in a file.
+        (SystemCall.OPEN, "EIO", ""),
     ],
 )
 def test_failed_system_call_at_startup_is_retried(
